--- /dev/null
+++ b/source/base/identifiers.cpp
@@ -0,0 +1,43 @@
+#include "base/identifiers.h"
+
+#include <boost/crc.hpp>
+#include <boost/uuid/name_generator_sha1.hpp>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+namespace rattanpond::base {
+
+std::string RandomIdentifier()
+{
+  thread_local boost::uuids::random_generator generator;
+  return boost::uuids::to_string(generator());
+}
+
+std::string DerivedIdentifier(std::string_view aScope, std::string_view aName)
+{
+  // The length prefix keeps ("ab", "c") and ("a", "bc") apart.
+  auto const text =
+    std::to_string(aScope.size()) + ":" + std::string{ aScope } + std::string{ aName };
+  boost::uuids::name_generator_sha1 generator{ boost::uuids::ns::oid() };
+  return boost::uuids::to_string(generator(text));
+}
+
+std::uint32_t Checksum(void const* aData, std::size_t aSize)
+{
+  boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
+  crc.process_bytes(aData, aSize);
+  return crc.checksum();
+}
+
+bool EqualSecrets(std::string_view aExpected, std::string_view aGiven)
+{
+  unsigned difference = aExpected.size() == aGiven.size() ? 0U : 1U;
+  for (std::size_t index = 0; index < aExpected.size(); ++index) {
+    auto const given =
+      aGiven.empty() ? 0U : static_cast<unsigned char>(aGiven[index % aGiven.size()]);
+    difference |= static_cast<unsigned char>(aExpected[index]) ^ given;
+  }
+  return difference == 0;
+}
+
+} // namespace rattanpond::base
--- /dev/null
+++ b/source/base/logging.cpp
@@ -0,0 +1,67 @@
+#include "base/logging.h"
+
+#include <mutex>
+
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace rattanpond::base {
+
+namespace {
+
+struct logging_state
+{
+  std::mutex mMutex;
+  std::string mPattern = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
+  spdlog::level::level_enum mLevel = spdlog::level::info;
+};
+
+logging_state& State()
+{
+  static logging_state sState;
+  return sState;
+}
+
+spdlog::level::level_enum ToSpdlog(log_level aLevel)
+{
+  switch (aLevel) {
+    case log_level::debug:
+      return spdlog::level::debug;
+    case log_level::info:
+      return spdlog::level::info;
+    case log_level::warning:
+      return spdlog::level::warn;
+    case log_level::error:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+} // namespace
+
+void ConfigureLogging(log_level aLevel, std::string const& aProcess)
+{
+  auto& state = State();
+  std::lock_guard const lock{ state.mMutex };
+  state.mLevel = ToSpdlog(aLevel);
+  state.mPattern = "%Y-%m-%dT%H:%M:%S.%e %L " + aProcess + " %n: %v";
+  spdlog::apply_all([&](std::shared_ptr<spdlog::logger> const& aLogger) {
+    aLogger->set_level(state.mLevel);
+    aLogger->set_pattern(state.mPattern);
+  });
+}
+
+std::shared_ptr<spdlog::logger> Log(std::string const& aPart)
+{
+  auto& state = State();
+  std::lock_guard const lock{ state.mMutex };
+  if (auto existing = spdlog::get(aPart)) {
+    return existing;
+  }
+  auto logger = spdlog::stderr_logger_mt(aPart);
+  logger->set_level(state.mLevel);
+  logger->set_pattern(state.mPattern);
+  logger->flush_on(spdlog::level::info);
+  return logger;
+}
+
+} // namespace rattanpond::base
--- /dev/null
+++ b/source/base/time.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace rattanpond::base {
+
+using milliseconds = std::chrono::milliseconds;
+
+/// Steady clock in milliseconds. Decision code receives time points as arguments and never reads
+/// it.
+struct monotonic_clock
+{
+  using duration = milliseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<monotonic_clock, duration>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept
+  {
+    auto const sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{ std::chrono::duration_cast<duration>(sinceStart) };
+  }
+};
+
+using time_point = monotonic_clock::time_point;
+
+inline time_point Now() noexcept
+{
+  return monotonic_clock::now();
+}
+
+/// Wall-clock milliseconds since 1970, for records that people read. Never used for decisions.
+inline std::int64_t WallMilliseconds()
+{
+  auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
+}
+
+} // namespace rattanpond::base
