--- /dev/null
+++ b/source/net/http_client.cpp
@@ -0,0 +1,195 @@
+#include "net/http_client.h"
+
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace rattanpond::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using base::error;
+using base::reply;
+using base::result_code;
+
+namespace {
+
+struct connection
+{
+  explicit connection(asio::io_context& aContext)
+    : mStream{ aContext }
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+/// Tells whether the server has closed a kept connection, or sent bytes that nobody asked for.
+bool IsStale(connection& aConnection)
+{
+  char byte = 0;
+  boost::system::error_code failure;
+  auto& socket = aConnection.mStream.socket();
+  socket.non_blocking(true, failure);
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
+  return failure != asio::error::would_block;
+}
+
+error TransferError(boost::system::error_code aFailure)
+{
+  if (aFailure == beast::error::timeout) {
+    return { result_code::timed_out, "the server did not answer in time" };
+  }
+  if (aFailure == http::error::body_limit) {
+    return { result_code::message_too_large, "the answer exceeds the size limit" };
+  }
+  return { result_code::link_closed, "the connection failed: " + aFailure.message() };
+}
+
+http::request<http::string_body> ToBeast(http_request&& aRequest, std::string const& aHost)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.set(http::field::host, aHost);
+  for (auto const& [name, value] : aRequest.mHeaders) {
+    message.insert(name, value);
+  }
+  message.body() = std::move(aRequest.mBody);
+  message.prepare_payload();
+  return message;
+}
+
+http_response FromBeast(http::response<http::string_body>&& aMessage)
+{
+  http_response response;
+  response.mStatus = aMessage.result_int();
+  for (auto const& header : aMessage) {
+    response.mHeaders.Add(std::string{ header.name_string() }, std::string{ header.value() });
+  }
+  response.mBody = std::move(aMessage.body());
+  return response;
+}
+
+} // namespace
+
+class http_client::implementation
+{
+public:
+  implementation(asio::io_context& aContext, options aOptions)
+    : mContext{ aContext }
+    , mOptions{ std::move(aOptions) }
+    , mHost{ ToString(mOptions.mEndpoint) }
+  {
+  }
+
+  asio::awaitable<reply<http_response>> Send(http_request aRequest, base::milliseconds aTimeout)
+  {
+    auto const deadline = std::chrono::steady_clock::now() + aTimeout;
+    auto used = TakeIdle();
+    if (!used) {
+      if (mInUse >= mOptions.mMaximumConnections) {
+        co_return error{ result_code::queue_full, "all connections to the server are in use" };
+      }
+      used = std::make_unique<connection>(mContext);
+      ++mInUse;
+      auto const connectDeadline =
+        std::min(deadline, std::chrono::steady_clock::now() + mOptions.mConnectTimeout);
+      used->mStream.expires_at(connectDeadline);
+      boost::system::error_code failure;
+      co_await used->mStream.async_connect(mOptions.mEndpoint,
+                                           asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        --mInUse;
+        co_return error{ result_code::connect_failed,
+                         "cannot connect to " + mHost + ": " + failure.message() };
+      }
+      used->mStream.socket().set_option(tcp::no_delay{ true }, failure);
+    } else {
+      ++mInUse;
+    }
+    auto result = co_await Exchange(*used, std::move(aRequest), deadline);
+    --mInUse;
+    if (base::Succeeded(result) && mKeepsConnection) {
+      used->mStream.expires_never();
+      mIdle.push_back(std::move(used));
+    }
+    co_return result;
+  }
+
+  std::size_t OpenConnections() const { return mInUse + mIdle.size(); }
+
+private:
+  connection_ptr TakeIdle()
+  {
+    while (!mIdle.empty()) {
+      auto taken = std::move(mIdle.back());
+      mIdle.pop_back();
+      if (!IsStale(*taken)) {
+        return taken;
+      }
+    }
+    return nullptr;
+  }
+
+  asio::awaitable<reply<http_response>> Exchange(connection& aConnection, http_request aRequest,
+                                                 std::chrono::steady_clock::time_point aDeadline)
+  {
+    auto const message = ToBeast(std::move(aRequest), mHost);
+    auto& stream = aConnection.mStream;
+    stream.expires_at(aDeadline);
+    boost::system::error_code failure;
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return TransferError(failure);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(mOptions.mMaximumBodyBytes);
+    co_await http::async_read(stream, aConnection.mBuffer, parser,
+                              asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return TransferError(failure);
+    }
+    mKeepsConnection = parser.get().keep_alive();
+    co_return FromBeast(parser.release());
+  }
+
+  asio::io_context& mContext;
+  options mOptions;
+  std::string mHost;
+  std::vector<connection_ptr> mIdle;
+  std::size_t mInUse = 0;
+  // Set by Exchange just before its caller resumes on the same thread.
+  bool mKeepsConnection = false;
+};
+
+http_client::http_client(asio::io_context& aContext, options aOptions)
+  : mImplementation{ std::make_shared<implementation>(aContext, std::move(aOptions)) }
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<reply<http_response>> http_client::Send(http_request aRequest,
+                                                        base::milliseconds aTimeout)
+{
+  // The local copy keeps the pool alive if the client is destroyed during the exchange.
+  auto const implementation = mImplementation;
+  co_return co_await implementation->Send(std::move(aRequest), aTimeout);
+}
+
+std::size_t http_client::OpenConnections() const
+{
+  return mImplementation->OpenConnections();
+}
+
+} // namespace rattanpond::net
--- /dev/null
+++ b/source/net/http_server.cpp
@@ -0,0 +1,292 @@
+#include "net/http_server.h"
+
+#include "base/logging.h"
+
+#include <atomic>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace rattanpond::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using base::result_code;
+
+namespace {
+
+constexpr base::milliseconds kAcceptRetryDelay{ 100 };
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+http_request FromBeast(http::request<http::string_body>&& aMessage)
+{
+  http_request request;
+  request.mMethod = std::string{ aMessage.method_string() };
+  request.mTarget = std::string{ aMessage.target() };
+  for (auto const& header : aMessage) {
+    request.mHeaders.Add(std::string{ header.name_string() }, std::string{ header.value() });
+  }
+  request.mBody = std::move(aMessage.body());
+  return request;
+}
+
+http::response<http::string_body> ToBeast(http_response&& aResponse, unsigned aVersion,
+                                          bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(aVersion);
+  message.result(aResponse.mStatus);
+  for (auto const& [name, value] : aResponse.mHeaders) {
+    message.insert(name, value);
+  }
+  message.body() = std::move(aResponse.mBody);
+  message.keep_alive(aKeepAlive);
+  message.prepare_payload();
+  return message;
+}
+
+/// Maps a read failure to the error that the client is told, or nothing if it has gone.
+std::optional<base::error> ReadError(boost::system::error_code aFailure)
+{
+  if (aFailure == http::error::body_limit || aFailure == http::error::header_limit ||
+      aFailure == http::error::buffer_overflow) {
+    return base::error{ result_code::message_too_large, "the request exceeds a size limit" };
+  }
+  if (aFailure == http::error::end_of_stream || aFailure == http::error::partial_message ||
+      aFailure == beast::error::timeout ||
+      aFailure.category() != http::make_error_code(http::error::bad_method).category()) {
+    return std::nullopt;
+  }
+  return base::error{ result_code::malformed_message,
+                      "the request is not valid HTTP: " + aFailure.message() };
+}
+
+} // namespace
+
+class http_server::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+  implementation(asio::io_context& aContext, options aOptions)
+    : mContext{ aContext }
+    , mAcceptor{ aContext }
+    , mOptions{ std::move(aOptions) }
+  {
+  }
+
+  base::result<void> Listen()
+  {
+    boost::system::error_code failure;
+    auto const& endpoint = mOptions.mEndpoint;
+    mAcceptor.open(endpoint.protocol(), failure);
+    if (!failure) {
+      mAcceptor.set_option(asio::socket_base::reuse_address{ true }, failure);
+    }
+    if (!failure && mOptions.mSharesPort) {
+      mAcceptor.set_option(reuse_port{ true }, failure);
+    }
+    if (!failure) {
+      mAcceptor.bind(endpoint, failure);
+    }
+    if (!failure) {
+      mAcceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+      return base::Fail(result_code::connect_failed,
+                        "cannot listen on " + ToString(endpoint) + ": " + failure.message());
+    }
+    asio::co_spawn(
+      mContext, [self = shared_from_this()] { return self->AcceptLoop(); }, asio::detached);
+    return {};
+  }
+
+  tcp::endpoint Endpoint() const { return mAcceptor.local_endpoint(); }
+
+  void Drain()
+  {
+    mIsDraining = true;
+    boost::system::error_code ignored;
+    mAcceptor.close(ignored);
+    for (auto* const idle : mIdle) {
+      // The read ends with an error and the session closes; nothing of a request has arrived.
+      idle->cancel();
+    }
+  }
+
+  void Stop()
+  {
+    Drain();
+    for (auto* const stream : mStreams) {
+      stream->cancel();
+    }
+  }
+
+  std::size_t ActiveRequests() const { return mActive.load(); }
+
+private:
+  asio::awaitable<void> AcceptLoop()
+  {
+    auto const self = shared_from_this();
+    while (mAcceptor.is_open()) {
+      boost::system::error_code failure;
+      auto socket =
+        co_await mAcceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+      if (!mAcceptor.is_open()) {
+        break;
+      }
+      if (failure) {
+        asio::steady_timer timer{ mContext, kAcceptRetryDelay };
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+        continue;
+      }
+      if (mStreams.size() >= mOptions.mMaximumConnections) {
+        // Closing at once tells the balancer to try another instance.
+        continue;
+      }
+      socket.set_option(tcp::no_delay{ true }, failure);
+      asio::co_spawn(
+        mContext,
+        [self, stream = std::make_shared<beast::tcp_stream>(std::move(socket))] {
+          return self->Session(stream);
+        },
+        asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Session(std::shared_ptr<beast::tcp_stream> aStream)
+  {
+    auto const self = shared_from_this();
+    mStreams.insert(aStream.get());
+    beast::flat_buffer buffer;
+    while (co_await ServeOne(*aStream, buffer)) {
+    }
+    mStreams.erase(aStream.get());
+    boost::system::error_code ignored;
+    aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  /// Waits for the first byte of a request, so that an idle connection can be told from a busy one.
+  asio::awaitable<boost::system::error_code> AwaitRequest(beast::tcp_stream& aStream,
+                                                          beast::flat_buffer& aBuffer)
+  {
+    boost::system::error_code failure;
+    if (aBuffer.size() == 0) {
+      mIdle.insert(&aStream);
+      aStream.expires_after(mOptions.mIdleTimeout);
+      auto const count = co_await aStream.async_read_some(
+        aBuffer.prepare(4096), asio::redirect_error(asio::use_awaitable, failure));
+      aBuffer.commit(count);
+      mIdle.erase(&aStream);
+    }
+    co_return failure;
+  }
+
+  /// Serves one request. Returns whether the connection stays open.
+  asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+  {
+    if (mIsDraining || co_await AwaitRequest(aStream, aBuffer)) {
+      co_return false;
+    }
+    ++mActive;
+    auto const keepAlive = co_await ReadAndAnswer(aStream, aBuffer);
+    --mActive;
+    co_return keepAlive;
+  }
+
+  asio::awaitable<bool> ReadAndAnswer(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+  {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(mOptions.mMaximumHeaderBytes));
+    parser.body_limit(mOptions.mMaximumBodyBytes);
+    aStream.expires_after(mOptions.mRequestTimeout);
+    boost::system::error_code failure;
+    co_await http::async_read(aStream, aBuffer, parser,
+                              asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      if (auto const reason = ReadError(failure)) {
+        co_await WriteAnswer(aStream, ErrorResponse(*reason), 11, false);
+      }
+      co_return false;
+    }
+    auto const version = parser.get().version();
+    auto const wantsKeepAlive = parser.get().keep_alive();
+    aStream.expires_never();
+    auto response = co_await Handle(FromBeast(parser.release()));
+    co_return co_await WriteAnswer(aStream, std::move(response), version,
+                                   wantsKeepAlive && !mIsDraining);
+  }
+
+  asio::awaitable<http_response> Handle(http_request aRequest)
+  {
+    std::string failure;
+    try {
+      co_return co_await mOptions.mHandler(std::move(aRequest));
+    } catch (std::exception const& thrown) {
+      failure = thrown.what();
+    }
+    base::Log("http")->error("A handler failed: {}.", failure);
+    co_return ErrorResponse({ result_code::internal, "the request could not be handled" });
+  }
+
+  asio::awaitable<bool> WriteAnswer(beast::tcp_stream& aStream, http_response aResponse,
+                                    unsigned aVersion, bool aKeepAlive)
+  {
+    auto message = ToBeast(std::move(aResponse), aVersion, aKeepAlive);
+    aStream.expires_after(mOptions.mWriteTimeout);
+    boost::system::error_code failure;
+    co_await http::async_write(aStream, message,
+                               asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure && aKeepAlive;
+  }
+
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  options mOptions;
+  std::set<beast::tcp_stream*> mStreams;
+  std::set<beast::tcp_stream*> mIdle;
+  std::atomic<std::size_t> mActive = 0;
+  bool mIsDraining = false;
+};
+
+base::result<std::unique_ptr<http_server>> http_server::Create(asio::io_context& aContext,
+                                                               options aOptions)
+{
+  auto created = std::make_shared<implementation>(aContext, std::move(aOptions));
+  BOOST_LEAF_CHECK(created->Listen());
+  return std::unique_ptr<http_server>{ new http_server{ std::move(created) } };
+}
+
+http_server::http_server(std::shared_ptr<implementation> aImplementation)
+  : mImplementation{ std::move(aImplementation) }
+{
+}
+
+http_server::~http_server()
+{
+  mImplementation->Stop();
+}
+
+tcp::endpoint http_server::Endpoint() const
+{
+  return mImplementation->Endpoint();
+}
+
+void http_server::Drain()
+{
+  mImplementation->Drain();
+}
+
+std::size_t http_server::ActiveRequests() const
+{
+  return mImplementation->ActiveRequests();
+}
+
+} // namespace rattanpond::net
--- /dev/null
+++ b/source/net/link.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "net/endpoint.h"
+#include "net/frame.h"
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace rattanpond::net {
+
+class link;
+using link_ptr = boost::intrusive_ptr<link>;
+
+/// Called on the thread of the link. Neither is called after mOnClose.
+struct link_handlers
+{
+  std::function<void(link_ptr const&, frame)> mOnFrame;
+  std::function<void(link_ptr const&, base::error const&)> mOnClose;
+};
+
+/// A TCP connection that carries frames in both directions. Used on the thread of its executor
+/// only.
+class link : public boost::intrusive_ref_counter<link>
+{
+public:
+  /// A peer that reads too slowly is cut off at this backlog rather than let memory grow.
+  static constexpr std::size_t kMaximumBacklogBytes = 32 * 1024 * 1024;
+
+  /// Takes a connected socket and starts to read.
+  static link_ptr Start(tcp::socket aSocket, link_handlers aHandlers);
+
+  template<message T>
+  void Send(T const& aMessage)
+  {
+    SendBytes(EncodeFrame(aMessage));
+  }
+
+  /// Sends a frame that was encoded once for several links.
+  void SendBytes(base::bytes aFrame);
+
+  /// Closes the link; mOnClose is called later with aReason.
+  void Close(base::error aReason);
+
+  bool IsOpen() const { return mIsOpen; }
+  std::string const& Peer() const { return mPeer; }
+  std::uint64_t BytesSent() const { return mBytesSent; }
+  std::uint64_t BytesReceived() const { return mBytesReceived; }
+  boost::asio::any_io_executor Executor() { return mSocket.get_executor(); }
+
+private:
+  link(tcp::socket aSocket, link_handlers aHandlers);
+
+  void Read();
+  void HandleBytes(std::size_t aCount);
+  void Write();
+
+  tcp::socket mSocket;
+  link_handlers mHandlers;
+  std::string mPeer;
+  frame_decoder mDecoder;
+  base::bytes mReadBuffer;
+  base::bytes mQueued;
+  base::bytes mWriting;
+  bool mIsOpen = true;
+  std::uint64_t mBytesSent = 0;
+  std::uint64_t mBytesReceived = 0;
+};
+
+} // namespace rattanpond::net
--- /dev/null
+++ b/source/net/link_dialer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "net/link.h"
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+namespace rattanpond::net {
+
+/// Keeps a link to one endpoint: connects, and connects again after each loss with a growing delay.
+class link_dialer
+{
+public:
+  struct options
+  {
+    tcp::endpoint mEndpoint;
+    link_handlers mHandlers;
+    std::function<void(link_ptr const&)> mOnOpen;
+    base::milliseconds mShortestDelay{ 50 };
+    base::milliseconds mLongestDelay{ 1000 };
+  };
+
+  link_dialer(boost::asio::io_context& aContext, options aOptions);
+  ~link_dialer();
+  link_dialer(link_dialer const&) = delete;
+  link_dialer& operator=(link_dialer const&) = delete;
+
+  /// The open link, or null.
+  link_ptr Current() const;
+  tcp::endpoint const& Endpoint() const;
+
+private:
+  class implementation;
+  std::shared_ptr<implementation> mImplementation;
+};
+
+} // namespace rattanpond::net
