--- /dev/null
+++ b/source/membership/target_registry.cpp
@@ -0,0 +1,128 @@
+#include "membership/target_registry.h"
+
+#include "base/logging.h"
+
+namespace rattanpond::membership {
+
+using base::error;
+using base::result_code;
+
+target_registry::target_registry(options aOptions)
+  : mOptions{ aOptions }
+{
+}
+
+void target_registry::Register(net::frame_dispatcher& aDispatcher)
+{
+  aDispatcher.On<announce>([this](net::link_ptr const& aLink, announce aMessage) {
+    Announced(aLink, std::move(aMessage.mTarget), base::Now());
+  });
+  aDispatcher.On<beat>([this](net::link_ptr const& aLink, beat const& aMessage) {
+    Beat(aLink, aMessage, base::Now());
+  });
+}
+
+void target_registry::Register(base::state_dump& aDump)
+{
+  aDump.Register("targets", [this] {
+    auto document = base::json::array();
+    for (auto const& [name, target] : mTargets) {
+      auto entry = base::Encode(target.mDescription);
+      entry["queued"] = target.mQueued;
+      entry["running"] = target.mRunning;
+      entry["last_beat_ms_ago"] = (base::Now() - target.mLastBeat).count();
+      document.push_back(std::move(entry));
+    }
+    return document;
+  });
+}
+
+void target_registry::Announced(net::link_ptr const& aLink, target_description aDescription,
+                                base::time_point aNow)
+{
+  auto const name = aDescription.mTarget;
+  auto const [found, isNew] = mTargets.try_emplace(name);
+  auto& target = found->second;
+  if (!isNew && target.mLink != aLink && target.mLink) {
+    // The newest link wins: the old one belongs to a process that was replaced, or is half open.
+    mByLink.erase(target.mLink.get());
+    target.mLink->Close(
+      error{ result_code::stale_incarnation, "the target announced itself again" });
+  }
+  target.mDescription = std::move(aDescription);
+  target.mLink = aLink;
+  target.mLastBeat = aNow;
+  mByLink[aLink.get()] = name;
+  if (isNew) {
+    base::Log("membership")
+      ->info("Target {} joined from domain {}.", name, target.mDescription.mDomain);
+  }
+  Notify(isNew ? target_change::joined : target_change::updated, target);
+}
+
+void target_registry::Beat(net::link_ptr const& aLink, beat const& aBeat, base::time_point aNow)
+{
+  auto const found = mByLink.find(aLink.get());
+  if (found == mByLink.end()) {
+    // The target expired while its process was paused; a new link makes it announce itself again.
+    aLink->Close(error{ result_code::stale_incarnation, "the target is not announced" });
+    return;
+  }
+  auto& target = mTargets.at(found->second);
+  target.mLastBeat = aNow;
+  target.mQueued = aBeat.mQueued;
+  target.mRunning = aBeat.mRunning;
+}
+
+void target_registry::LinkClosed(net::link_ptr const& aLink)
+{
+  if (auto const found = mByLink.find(aLink.get()); found != mByLink.end()) {
+    Remove(std::string{ found->second });
+  }
+}
+
+void target_registry::Expire(base::time_point aNow)
+{
+  std::vector<std::string> expired;
+  for (auto const& [name, target] : mTargets) {
+    if (aNow - target.mLastBeat > mOptions.mExpiry) {
+      expired.push_back(name);
+    }
+  }
+  for (auto const& name : expired) {
+    Remove(name);
+  }
+}
+
+known_target const* target_registry::Find(std::string const& aTarget) const
+{
+  auto const found = mTargets.find(aTarget);
+  return found == mTargets.end() ? nullptr : &found->second;
+}
+
+known_target const* target_registry::FindByLink(net::link_ptr const& aLink) const
+{
+  auto const found = mByLink.find(aLink.get());
+  return found == mByLink.end() ? nullptr : Find(found->second);
+}
+
+void target_registry::Remove(std::string const& aTarget)
+{
+  auto node = mTargets.extract(aTarget);
+  if (node.empty()) {
+    return;
+  }
+  auto const& removed = node.mapped();
+  mByLink.erase(removed.mLink.get());
+  base::Log("membership")->info("Target {} left.", aTarget);
+  Notify(target_change::left, removed);
+}
+
+void target_registry::Notify(target_change aChange, known_target const& aTarget) const
+{
+  for (auto const& observer : mObservers) {
+    observer(aChange, aTarget);
+  }
+}
+
+} // namespace rattanpond::membership
--- /dev/null
+++ b/source/placement/types.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "base/time.h"
+#include "configuration/contract.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattanpond::placement {
+
+using configuration::adjacency;
+using configuration::urgency;
+
+enum class worker_availability
+{
+  available,
+  /// Its failure domain is out of service or its agent drains: nothing new starts.
+  closed,
+  quarantined,
+  lost
+};
+
+/// A worker as the policy sees it.
+struct worker
+{
+  std::string mName;
+  std::string mRegion;
+  std::string mDomain;
+  std::string mRack;
+  std::string mKind;
+  std::uint32_t mAccelerators = 0;
+  std::uint32_t mCores = 0;
+  std::uint64_t mMemoryMebibytes = 0;
+  worker_availability mAvailability = worker_availability::available;
+};
+
+/// What one task of a gang needs.
+struct task_shape
+{
+  std::uint32_t mAccelerators = 0;
+  std::uint32_t mCores = 0;
+  std::uint64_t mMemoryMebibytes = 0;
+
+  bool operator==(task_shape const&) const = default;
+};
+
+/// What a whole gang needs.
+struct gang_shape
+{
+  std::uint32_t mTasks = 1;
+  task_shape mTask;
+  std::string mKind;
+  adjacency mLevel = adjacency::same_region;
+  std::string mRegion;
+
+  bool operator==(gang_shape const&) const = default;
+};
+
+/// A job that waits for a placement.
+struct waiting_job
+{
+  std::string mJob;
+  std::string mWorkspace;
+  urgency mUrgency = urgency::normal;
+  gang_shape mShape;
+  /// Run time as declared and not yet done; often far off.
+  base::milliseconds mDeclaredLeft{ 0 };
+  base::time_point mSubmitted{};
+  /// When the job last became eligible; later than mSubmitted after a preemption or a failure.
+  base::time_point mWaitingSince{};
+};
+
+/// Tasks of a gang on one worker.
+struct gang_part
+{
+  std::string mWorker;
+  std::uint32_t mTasks = 0;
+
+  bool operator==(gang_part const&) const = default;
+};
+
+/// Whether a running gang may be preempted for an owner's guarantee.
+enum class tenure
+{
+  guaranteed,
+  borrowed
+};
+
+/// A gang that is starting, running or stopping; it holds its accelerators in all three.
+struct running_gang
+{
+  std::string mJob;
+  std::string mWorkspace;
+  urgency mUrgency = urgency::normal;
+  gang_shape mShape;
+  std::vector<gang_part> mParts;
+  tenure mTenure = tenure::borrowed;
+  base::time_point mStarted{};
+  base::time_point mLastCheckpoint{};
+  base::milliseconds mDeclaredLeft{ 0 };
+  /// Already told to checkpoint and stop; its accelerators become free by then.
+  bool mIsStopping = false;
+  base::time_point mStopsBy{};
+};
+
+/// Everything the policy decides from. Plain data: the same in the entry and in the bench.
+struct cluster_state
+{
+  std::map<std::string, worker> mWorkers;
+  std::map<std::string, configuration::contract> mContracts;
+  std::map<std::string, waiting_job> mWaiting;
+  std::map<std::string, running_gang> mRunning;
+};
+
+/// Starts a whole gang.
+struct start_gang
+{
+  std::string mJob;
+  std::vector<gang_part> mParts;
+  tenure mTenure = tenure::borrowed;
+};
+
+enum class stop_reason
+{
+  reclaim,
+  domain_out,
+  defragment,
+  worker_lost,
+  urgent
+};
+
+/// Checkpoints and stops a whole gang; its job goes back to waiting.
+struct stop_gang
+{
+  std::string mJob;
+  stop_reason mReason = stop_reason::reclaim;
+  base::milliseconds mNotice{ 0 };
+};
+
+/// Takes a job that can never run out of the queue.
+struct park_job
+{
+  std::string mJob;
+  std::string mReason;
+};
+
+struct decisions
+{
+  std::vector<start_gang> mStarts;
+  std::vector<stop_gang> mStops;
+  std::vector<park_job> mParks;
+};
+
+} // namespace rattanpond::placement
