--- /dev/null
+++ b/source/configuration/freshness_service.cpp
@@ -0,0 +1,286 @@
+#include "configuration/freshness_service.h"
+
+#include "base/logging.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rattanpond::configuration {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::vector<std::string> DomainsOut(configuration_snapshot const& aSnapshot)
+{
+  std::vector<std::string> domains;
+  for (auto const& [name, service] : aSnapshot.mDomains) {
+    if (service.mState == domain_state::out_of_service) {
+      domains.push_back(name);
+    }
+  }
+  return domains;
+}
+
+} // namespace
+
+freshness_service::freshness_service(asio::io_context& aContext, configuration_store& aStore,
+                                     membership::target_registry& aTargets,
+                                     membership::entry_links& aEntries, options aOptions)
+  : mContext{ aContext }
+  , mStore{ aStore }
+  , mTargets{ aTargets }
+  , mEntries{ aEntries }
+  , mOptions{ std::move(aOptions) }
+  , mTimer{ aContext }
+{
+}
+
+void freshness_service::Register(net::frame_dispatcher& aDispatcher)
+{
+  aDispatcher.On<confirm>([this](net::link_ptr const& aLink, confirm const& aMessage) {
+    ConfirmReceived(aLink, aMessage);
+  });
+  aDispatcher.On<config_push>([this](net::link_ptr const& aLink, config_push const& aMessage) {
+    PushReceived(aLink, aMessage);
+  });
+  aDispatcher.On<config_held>([this](net::link_ptr const& aLink, config_held const& aMessage) {
+    HeldReceived(aLink, aMessage);
+  });
+}
+
+void freshness_service::Register(base::state_dump& aDump)
+{
+  aDump.Register("freshness", [this] {
+    auto const now = base::Now();
+    auto entries = base::json::object();
+    for (auto const& [process, entry] : mListed) {
+      entries[process] = { { "version", entry.mHeld },
+                           { "answered_ms_ago", (now - entry.mLastHeld).count() } };
+    }
+    return base::json{ { "ready", mIsReady },
+                       { "store_fresh", IsStoreFresh(now) },
+                       { "majority", HasMajority(now) },
+                       { "listed_entries", mOptions.mListedEntries },
+                       { "entries", std::move(entries) } };
+  });
+}
+
+void freshness_service::HelloReceived(net::link_ptr const& aLink, membership::hello aHello)
+{
+  mPeers[aLink].mHello = std::move(aHello);
+}
+
+void freshness_service::Start()
+{
+  mStore.Observe([this](snapshot_ptr const&) {
+    mPushFrames.clear();
+    SendAll();
+    Evaluate(base::Now());
+  });
+  // A confirmation is worth most right after a read, so the period starts again there.
+  mStore.ObserveReads([this] { mTimer.cancel(); });
+  mEntries.OnOpen([this](net::link_ptr const& aLink) { SendTo(aLink, recipient::entry); });
+  mTargets.Observe(
+    [this](membership::target_change aChange, membership::known_target const& aTarget) {
+      if (aChange != membership::target_change::left) {
+        SendTo(aTarget.mLink, recipient::agent);
+      }
+    });
+  mLastConnected = base::Now();
+  asio::co_spawn(mContext, Run(), asio::detached);
+}
+
+asio::awaitable<void> freshness_service::Run()
+{
+  while (true) {
+    Prune();
+    SendAll();
+    Evaluate(base::Now());
+    mTimer.expires_after(mOptions.mConfirmPeriod);
+    boost::system::error_code ignored;
+    co_await mTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+void freshness_service::SendAll()
+{
+  for (auto const& link : mEntries.OpenLinks()) {
+    SendTo(link, recipient::entry);
+  }
+  for (auto const& [name, target] : mTargets.Targets()) {
+    SendTo(target.mLink, recipient::agent);
+  }
+}
+
+void freshness_service::SendTo(net::link_ptr const& aLink, recipient aRecipient)
+{
+  if (!aLink || !aLink->IsOpen()) {
+    return;
+  }
+  auto& known = mPeers[aLink];
+  if (mStore.IsSynchronized() && known.mPushed != mStore.Version()) {
+    known.mPushed = mStore.Version();
+    aLink->SendBytes(PushFrame(aRecipient));
+  }
+  auto message = Confirmation();
+  message.mEcho = known.mStamp;
+  aLink->Send(message);
+}
+
+base::bytes const& freshness_service::PushFrame(recipient aRecipient)
+{
+  auto& frame = mPushFrames[aRecipient];
+  if (frame.empty()) {
+    auto const snapshot = mStore.Current();
+    config_push message{ .mVersion = snapshot->mVersion,
+                         .mDomainsOut = DomainsOut(*snapshot),
+                         .mSnapshot = {} };
+    if (aRecipient == recipient::entry) {
+      message.mSnapshot = base::Encode(*snapshot);
+    }
+    frame = net::EncodeFrame(message);
+  }
+  return frame;
+}
+
+confirm freshness_service::Confirmation() const
+{
+  confirm message{ .mVersion = mStore.Version(),
+                   .mReadAge = {},
+                   .mSynchronized = mStore.IsSynchronized(),
+                   .mEcho = {} };
+  if (auto const began = mStore.LastReadBegan()) {
+    message.mReadAge = base::Now() - *began;
+  }
+  return message;
+}
+
+void freshness_service::Prune()
+{
+  std::erase_if(mPeers, [](auto const& aItem) { return !aItem.first->IsOpen(); });
+}
+
+bool freshness_service::IsStoreFresh(base::time_point aNow) const
+{
+  auto const began = mStore.LastReadBegan();
+  return began && aNow - *began <= mOptions.mFreshnessLimit;
+}
+
+bool freshness_service::HasMajority(base::time_point aNow) const
+{
+  auto const answering = std::ranges::count_if(mListed, [&](auto const& aItem) {
+    return aNow - aItem.second.mLastHeld <= mOptions.mFreshnessLimit;
+  });
+  return (static_cast<std::size_t>(answering) + 1) * 2 > mOptions.mListedEntries;
+}
+
+void freshness_service::Evaluate(base::time_point aNow)
+{
+  if (IsStoreFresh(aNow) || HasMajority(aNow)) {
+    mLastConnected = aNow;
+  }
+  auto const isReady = mStore.IsSynchronized() && aNow - mLastConnected <= mOptions.mNotReadyAfter;
+  if (isReady == mIsReady) {
+    return;
+  }
+  mIsReady = isReady;
+  base::Log("configuration")
+    ->info("This entry is {}ready: version {}, table read {}fresh, majority {}connected.",
+           isReady ? "" : "not ", mStore.Version(), IsStoreFresh(aNow) ? "" : "not ",
+           HasMajority(aNow) ? "" : "not ");
+  for (auto const& observer : mReadinessObservers) {
+    observer(isReady);
+  }
+}
+
+bool freshness_service::IsEntry(net::link_ptr const& aLink) const
+{
+  auto const found = mPeers.find(aLink);
+  return found != mPeers.end() && found->second.mHello &&
+         found->second.mHello->mRole == membership::process_role::entry;
+}
+
+bool freshness_service::IsListed(net::link_ptr const& aLink) const
+{
+  // Only links that this entry opened lead to entries of its settings for certain.
+  auto const links = mEntries.OpenLinks();
+  return IsEntry(aLink) && std::ranges::find(links, aLink) != links.end() &&
+         mPeers.at(aLink).mHello->mProcess != mOptions.mProcess;
+}
+
+std::size_t freshness_service::Holders(std::uint64_t aVersion) const
+{
+  auto const others = std::ranges::count_if(
+    mListed, [&](auto const& aItem) { return aItem.second.mHeld >= aVersion; });
+  auto const isHeldHere = mStore.IsSynchronized() && mStore.Version() >= aVersion;
+  return static_cast<std::size_t>(others) + (isHeldHere ? 1U : 0U);
+}
+
+void freshness_service::ConfirmReceived(net::link_ptr const& aLink, confirm const& aMessage)
+{
+  if (IsEntry(aLink)) {
+    mStore.NoteVersion(aMessage.mVersion);
+    SendHeld(aLink);
+  }
+}
+
+void freshness_service::PushReceived(net::link_ptr const& aLink, config_push const& aMessage)
+{
+  if (!IsEntry(aLink)) {
+    return;
+  }
+  mStore.NoteVersion(aMessage.mVersion);
+  auto decoded = base::TryDecode<configuration_snapshot>(aMessage.mSnapshot);
+  if (auto const* const failure = std::get_if<base::decode_failure>(&decoded)) {
+    // The version is known from now on; the content is read from the table.
+    base::Log("configuration")
+      ->warn("Version {} from {} has a wrong snapshot: {}: {}.", aMessage.mVersion, aLink->Peer(),
+             failure->mPath, failure->mReason);
+  } else {
+    mStore.Adopt(std::get<0>(std::move(decoded)));
+  }
+  SendHeld(aLink);
+}
+
+void freshness_service::HeldReceived(net::link_ptr const& aLink, config_held const& aMessage)
+{
+  mPeers[aLink].mStamp = aMessage.mStamp;
+  mStore.NoteVersion(aMessage.mVersion);
+  if (!IsListed(aLink)) {
+    return;
+  }
+  auto& entry = mListed[mPeers.at(aLink).mHello->mProcess];
+  entry.mHeld = std::max(entry.mHeld, aMessage.mVersion);
+  entry.mLastHeld = base::Now();
+  for (auto* const wait : mForceWaits) {
+    wait->cancel();
+  }
+}
+
+void freshness_service::SendHeld(net::link_ptr const& aLink)
+{
+  aLink->Send(
+    config_held{ .mVersion = mStore.Version(), .mStamp = base::Now().time_since_epoch().count() });
+}
+
+asio::awaitable<force_state> freshness_service::AwaitInForce(std::uint64_t aVersion)
+{
+  auto const deadline = base::Now() + mOptions.mForceLimit;
+  asio::steady_timer wait{ mContext };
+  mForceWaits.insert(&wait);
+  while (Holders(aVersion) * 2 <= mOptions.mListedEntries && base::Now() < deadline) {
+    wait.expires_after(deadline - base::Now());
+    boost::system::error_code ignored;
+    co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  mForceWaits.erase(&wait);
+  co_return Holders(aVersion) * 2 > mOptions.mListedEntries ? force_state::in_force
+                                                            : force_state::committed;
+}
+
+} // namespace rattanpond::configuration
--- /dev/null
+++ b/source/configuration/start_gate.cpp
@@ -0,0 +1,73 @@
+#include "configuration/start_gate.h"
+
+#include <algorithm>
+
+namespace rattanpond::configuration {
+
+start_gate::start_gate(options aOptions)
+  : mOptions{ aOptions }
+{
+}
+
+void start_gate::Confirmed(gate_confirmation const& aConfirmation)
+{
+  mHighestNamed = std::max(mHighestNamed, aConfirmation.mVersion);
+  auto& record = mEntries[aConfirmation.mEntry];
+  if (record.mIncarnation != aConfirmation.mIncarnation) {
+    // A restarted entry has forgotten what it held: nothing that it confirmed before counts.
+    record = { .mIncarnation = aConfirmation.mIncarnation, .mSentAfter = {}, .mReadAfter = {} };
+  }
+  if (!aConfirmation.mSynchronized) {
+    return;
+  }
+  // Each confirmation states a fact about a moment, so one that arrives late may be kept as long as
+  // it does not replace a newer one.
+  record.mSentAfter = std::max(record.mSentAfter, std::optional{ aConfirmation.mSentAfter });
+  record.mReadAfter = std::max(record.mReadAfter, aConfirmation.mReadAfter);
+}
+
+bool start_gate::Learned(std::uint64_t aVersion, std::set<std::string> aDomainsOut)
+{
+  if (mVersion && aVersion <= *mVersion) {
+    return false;
+  }
+  mVersion = aVersion;
+  mHighestNamed = std::max(mHighestNamed, aVersion);
+  mDomainsOut = std::move(aDomainsOut);
+  return true;
+}
+
+gate_state start_gate::State(std::string const& aDomain, base::time_point aNow) const
+{
+  if (!mVersion) {
+    return gate_state::no_configuration;
+  }
+  if (mHighestNamed > *mVersion) {
+    return gate_state::newer_version_known;
+  }
+  if (mDomainsOut.contains(aDomain)) {
+    return gate_state::domain_out_of_service;
+  }
+  auto const isMajority = ConfirmingEntries(aNow) * 2 > mOptions.mListedEntries;
+  return HasStoreFreshEntry(aNow) || isMajority ? gate_state::open : gate_state::not_confirmed;
+}
+
+bool start_gate::HasStoreFreshEntry(base::time_point aNow) const
+{
+  return std::ranges::any_of(
+    mEntries, [&](auto const& aItem) { return IsFresh(aItem.second.mReadAfter, aNow); });
+}
+
+std::size_t start_gate::ConfirmingEntries(base::time_point aNow) const
+{
+  auto const count = std::ranges::count_if(
+    mEntries, [&](auto const& aItem) { return IsFresh(aItem.second.mSentAfter, aNow); });
+  return static_cast<std::size_t>(count);
+}
+
+bool start_gate::IsFresh(std::optional<base::time_point> const& aTime, base::time_point aNow) const
+{
+  return aTime && aNow - *aTime <= mOptions.mFreshnessLimit;
+}
+
+} // namespace rattanpond::configuration
