--- /dev/null
+++ b/source/platform/availability.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/enum_names.h"
+
+namespace rattanpond::platform {
+
+/// Whether a simulated part of the platform answers at all.
+enum class availability
+{
+  up,
+  down
+};
+
+} // namespace rattanpond::platform
+
+template<>
+struct rattanpond::base::enum_names<rattanpond::platform::availability>
+{
+  using value = rattanpond::platform::availability;
+  static constexpr enum_name<value> kTable[] = { { value::up, "up" }, { value::down, "down" } };
+};
