Placement: Add the policy for guaranteed and borrowed gangs

Topology, gang fit with adjacency, guarantee binding and check, claims with victim choice, quarantine and weighted shares. Random runs check overlap, whole gangs, adjacency, availability, quotas and that guarantees can be reclaimed. Two additions to the shared interface: worker::mNotice and policy::Quarantined.

--- /dev/null
+++ b/source/placement/guarantee_binding.cpp
@@ -0,0 +1,193 @@
+#include "placement/guarantee_binding.h"
+
+#include <algorithm>
+
+namespace rattanpond::placement {
+
+namespace {
+
+using amounts_by_workspace = std::unordered_map<std::string, guarantee_binding::worker_amounts>;
+
+bool IsAllBound(std::vector<bound_shape> const& aShapes)
+{
+  return std::all_of(aShapes.begin(), aShapes.end(),
+                     [](bound_shape const& aShape) { return aShape.IsBound(); });
+}
+
+amounts_by_workspace BoundAmounts(topology const& aTopology,
+                                  std::vector<bound_shape> const& aShapes)
+{
+  amounts_by_workspace bound;
+  for (auto const& shape : aShapes) {
+    for (auto const& part : shape.mParts) {
+      bound[shape.mWorkspace][part.mWorker] +=
+        Unit(shape.mShape, aTopology.Worker(part.mWorker)) * part.mTasks;
+    }
+  }
+  return bound;
+}
+
+/// What guaranteed gangs hold beyond what is bound for their workspace, e.g. because the rest of
+/// their shape moved to other workers.
+amounts_by_workspace UncoveredUse(topology const& aTopology,
+                                  std::vector<bound_shape> const& aShapes,
+                                  std::vector<guaranteed_use> const& aUses)
+{
+  amounts_by_workspace uncovered;
+  for (auto const& use : aUses) {
+    for (auto const& part : *use.mParts) {
+      uncovered[*use.mWorkspace][part.mWorker] += use.mTask * part.mTasks;
+    }
+  }
+  for (auto const& [workspace, workers] : BoundAmounts(aTopology, aShapes)) {
+    for (auto const& [worker, amount] : workers) {
+      auto& left = uncovered[workspace][worker];
+      left -= Minimum(left, amount);
+    }
+  }
+  return uncovered;
+}
+
+/// Places one shape where it covers guaranteed gangs of its workspace and leaves those of others
+/// alone.
+std::optional<placed_parts> PlaceBesideUse(topology const& aTopology, bound_shape const& aShape,
+                                           std::span<resources const> aFree,
+                                           amounts_by_workspace const& aUncovered)
+{
+  std::vector<resources> free{ aFree.begin(), aFree.end() };
+  std::vector<bool> isOwn(free.size(), false);
+  for (auto const& [workspace, workers] : aUncovered) {
+    for (auto const& [worker, amount] : workers) {
+      if (workspace == aShape.mWorkspace) {
+        isOwn[worker] = amount.mAccelerators > 0;
+      } else {
+        free[worker] -= amount;
+      }
+    }
+  }
+  return PlaceShape(aTopology, aShape.mShape,
+                    { .mCost = [&](std::uint32_t aWorker) { return isOwn[aWorker] ? 0.0 : 1.0; },
+                      .mFree = [&](std::uint32_t aWorker) { return free[aWorker]; } });
+}
+
+} // namespace
+
+guarantee_binding::shape_list guarantee_binding::Guarantees(
+  std::map<std::string, configuration::contract> const& aContracts)
+{
+  shape_list guarantees;
+  for (auto const& [name, contract] : aContracts) {
+    guarantees.emplace_back(name, contract.mGuarantee);
+  }
+  return guarantees;
+}
+
+bool guarantee_binding::Update(topology const& aTopology, std::span<resources const> aUsable,
+                               std::map<std::string, configuration::contract> const& aContracts,
+                               std::vector<guaranteed_use> const& aUses)
+{
+  auto guarantees = Guarantees(aContracts);
+  if (guarantees == mGuarantees &&
+      std::equal(aUsable.begin(), aUsable.end(), mUsable.begin(), mUsable.end()) &&
+      IsAllBound(mShapes)) {
+    return false;
+  }
+  mGuarantees = std::move(guarantees);
+  mUsable.assign(aUsable.begin(), aUsable.end());
+  auto shapes = placement::Shapes(aContracts);
+  auto free = mUsable;
+  KeepPlaces(aTopology, shapes, free);
+  if (!PlaceAround(aTopology, shapes, free, aUses)) {
+    // Only moving places that are still good makes room, if anything does.
+    auto moved = placement::Shapes(aContracts);
+    auto all = mUsable;
+    if (!PackShapes(aTopology, all, moved)) {
+      shapes = std::move(moved);
+    } else {
+      PackShapes(aTopology, free, shapes);
+    }
+  }
+  mShapes = std::move(shapes);
+  Index(aTopology);
+  return true;
+}
+
+void guarantee_binding::KeepPlaces(topology const& aTopology, std::vector<bound_shape>& aShapes,
+                                   std::span<resources> aFree) const
+{
+  std::vector<bool> isUsed(mShapes.size(), false);
+  for (auto& shape : aShapes) {
+    for (std::size_t index = 0; index < mShapes.size(); ++index) {
+      if (isUsed[index] || !mShapes[index].IsBound() ||
+          mShapes[index].mWorkspace != shape.mWorkspace || mShapes[index].mShape != shape.mShape) {
+        continue;
+      }
+      auto const& parts = mShapes[index].mParts;
+      isUsed[index] = true;
+      if (std::all_of(parts.begin(), parts.end(), [&](placed_part const& aPart) {
+            return aFree[aPart.mWorker].Covers(Unit(shape.mShape, aTopology.Worker(aPart.mWorker)) *
+                                               aPart.mTasks);
+          })) {
+        shape.mParts = parts;
+        Take(aTopology, aFree, shape);
+      }
+      break;
+    }
+  }
+}
+
+bool guarantee_binding::PlaceAround(topology const& aTopology, std::vector<bound_shape>& aShapes,
+                                    std::span<resources> aFree,
+                                    std::vector<guaranteed_use> const& aUses)
+{
+  std::vector<bound_shape*> order;
+  for (auto& shape : aShapes) {
+    if (!shape.IsBound()) {
+      order.push_back(&shape);
+    }
+  }
+  std::stable_sort(order.begin(), order.end(), [](auto const* aLeft, auto const* aRight) {
+    return aLeft->mShape.mAccelerators > aRight->mShape.mAccelerators;
+  });
+  for (auto* const shape : order) {
+    auto const uncovered = UncoveredUse(aTopology, aShapes, aUses);
+    if (auto parts = PlaceBesideUse(aTopology, *shape, aFree, uncovered)) {
+      shape->mParts = std::move(*parts);
+      Take(aTopology, aFree, *shape);
+    }
+  }
+  return IsAllBound(aShapes);
+}
+
+void guarantee_binding::Rebase(topology const& aOld, topology const& aNew)
+{
+  for (auto& shape : mShapes) {
+    placed_parts parts;
+    for (auto const& part : shape.mParts) {
+      auto const found = aNew.Find(aOld.Worker(part.mWorker).mName);
+      if (!found) {
+        parts.clear();
+        break;
+      }
+      parts.push_back({ *found, part.mTasks });
+    }
+    shape.mParts = std::move(parts);
+  }
+  // The order of the workers may differ, so nothing that was remembered by position holds.
+  mUsable.clear();
+}
+
+void guarantee_binding::Index(topology const& aTopology)
+{
+  mBound = BoundAmounts(aTopology, mShapes);
+}
+
+guarantee_binding::worker_amounts const& guarantee_binding::Bound(
+  std::string const& aWorkspace) const
+{
+  static worker_amounts const kNothing;
+  auto const found = mBound.find(aWorkspace);
+  return found == mBound.end() ? kNothing : found->second;
+}
+
+} // namespace rattanpond::placement
--- /dev/null
+++ b/source/placement/guarantee_check.cpp
@@ -0,0 +1,75 @@
+#include "placement/policy.h"
+
+#include "base/enum_names.h"
+#include "placement/shape_packing.h"
+
+#include <set>
+
+namespace rattanpond::placement {
+
+namespace {
+
+std::string Describe(configuration::guaranteed_shape const& aShape)
+{
+  return std::to_string(aShape.mAccelerators) + " accelerators of kind '" + aShape.mKind + "' in " +
+         std::string{ base::Name(aShape.mLevel) } +
+         (aShape.mRegion.empty() ? "" : " in region '" + aShape.mRegion + "'");
+}
+
+/// Closed workers count, because the check covers every domain out of service anyway. Lost and
+/// quarantined workers do not: nothing can be promised on them.
+bool CanBePromised(worker const& aWorker)
+{
+  return aWorker.mAvailability == worker_availability::available ||
+         aWorker.mAvailability == worker_availability::closed;
+}
+
+std::optional<guarantee_misfit> Check(
+  topology const& aTopology, std::map<std::string, configuration::contract> const& aContracts,
+  std::string const* aMissingDomain)
+{
+  std::vector<resources> free(aTopology.size());
+  for (std::size_t index = 0; index < aTopology.size(); ++index) {
+    auto const& worker = aTopology.Worker(index);
+    if (CanBePromised(worker) && (!aMissingDomain || worker.mDomain != *aMissingDomain)) {
+      free[index] = Capacity(worker);
+    }
+  }
+  auto shapes = Shapes(aContracts);
+  auto const* const misfit = PackShapes(aTopology, free, shapes);
+  if (!misfit) {
+    return std::nullopt;
+  }
+  return guarantee_misfit{ .mWorkspace = misfit->mWorkspace,
+                           .mReason = "no room for " + Describe(misfit->mShape) + " with " +
+                                      (aMissingDomain
+                                         ? "failure domain '" + *aMissingDomain + "' out of service"
+                                         : std::string{ "all workers" }) };
+}
+
+} // namespace
+
+std::optional<guarantee_misfit> CheckGuarantees(
+  std::map<std::string, worker> const& aWorkers,
+  std::map<std::string, configuration::contract> const& aContracts, domain_loss aDomainLoss)
+{
+  topology const workers{ aWorkers };
+  if (auto misfit = Check(workers, aContracts, nullptr)) {
+    return misfit;
+  }
+  if (aDomainLoss == domain_loss::ignored) {
+    return std::nullopt;
+  }
+  std::set<std::string> domains;
+  for (auto const& [name, worker] : aWorkers) {
+    domains.insert(worker.mDomain);
+  }
+  for (auto const& domain : domains) {
+    if (auto misfit = Check(workers, aContracts, &domain)) {
+      return misfit;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace rattanpond::placement
--- /dev/null
+++ b/source/placement/guaranteed_decision.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "placement/cluster_view.h"
+#include "placement/placement_score.h"
+#include "placement/policy_memory.h"
+#include "placement/victim_choice.h"
+#include "placement/workspace_ledger.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rattanpond::placement {
+
+/// One decision of the policy "guaranteed".
+class guaranteed_decision
+{
+public:
+  guaranteed_decision(policy_memory& aMemory, cluster_state const& aState, base::time_point aNow);
+
+  decisions Run();
+
+private:
+  struct plan
+  {
+    placed_parts mParts;
+    std::vector<std::uint32_t> mVictims;
+  };
+
+  void BindGuarantees();
+  void OpenLedgers();
+  void MarkProtected();
+  void QueueJobs();
+  bool ParkIfHopeless(waiting_job const& aJob, std::uint32_t aShape);
+  void LeaveUnusableWorkers();
+
+  void RenewClaims(tenure aTenure);
+  bool RenewClaim(claim const& aClaim, waiting_job const& aJob);
+  void ClaimGuarantees();
+  bool ClaimGuarantee(waiting_job const& aJob, workspace_ledger& aLedger);
+  void StartUrgent();
+  bool PreemptForUrgent(waiting_job const& aJob, workspace_ledger& aLedger);
+  void Borrow();
+  bool BorrowFree(waiting_job const& aJob, workspace_ledger& aLedger);
+  void ProbeWorkers();
+  void StartReadyClaims();
+
+  std::optional<plan> PlanGuaranteed(waiting_job const& aJob,
+                                     workspace_ledger const& aLedger) const;
+  std::optional<plan> PlanUrgent(waiting_job const& aJob) const;
+  std::optional<plan> CheapestPlan(waiting_job const& aJob, std::span<resources const> aReach,
+                                   std::vector<std::uint32_t> const& aWorkers,
+                                   victim_rule aRule) const;
+  void AddClaim(waiting_job const& aJob, workspace_ledger& aLedger, plan aPlan, tenure aTenure);
+  void StopForClaim(std::vector<std::uint32_t> const& aVictims, placed_parts const& aParts,
+                    waiting_job const& aJob, base::milliseconds aNotice);
+  void Stop(gang_view& aGang, stop_reason aReason, base::milliseconds aNotice);
+  bool IsClaimed(std::string const& aJob) const;
+  workspace_ledger& Ledger(std::string const& aWorkspace);
+  base::milliseconds Notice(waiting_job const& aJob, workspace_ledger const& aLedger) const;
+
+  policy_memory& mMemory;
+  cluster_state const& mState;
+  base::time_point mNow;
+  cluster_view mView;
+  std::vector<kept_shape> mKept;
+  placement_score mScore;
+  /// Free accelerators without regard to claims.
+  std::vector<resources> mPhysical;
+  resources mAll;
+  std::map<std::string, workspace_ledger> mLedgers;
+  std::vector<claim> mClaims;
+  std::map<std::string, std::uint32_t> mShapeOfJob;
+  decisions mDecisions;
+};
+
+} // namespace rattanpond::placement
--- a/source/placement/policy.h
+++ b/source/placement/policy.h
@@ -32,6 +32,9 @@
   /// Reports the end of a gang. aFailedWorker names the worker of the first failed member, if any.
   virtual void Ended(running_gang const& aGang, gang_outcome aOutcome,
                      std::string const& aFailedWorker, base::time_point aNow) = 0;
+
+  /// Workers that the policy keeps in quarantine by what Ended told it, for operators and metrics.
+  virtual std::vector<std::string> Quarantined() const { return {}; }
 };
 
 struct policy_options
--- /dev/null
+++ b/source/placement/policy_memory.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "placement/guarantee_binding.h"
+#include "placement/policy.h"
+#include "placement/run_time_estimator.h"
+#include "placement/shape_table.h"
+#include "placement/topology.h"
+#include "placement/worker_health.h"
+
+#include <string>
+#include <vector>
+
+namespace rattanpond::placement {
+
+/// Accelerators held for a job until the gangs on them have stopped.
+struct claim
+{
+  std::string mJob;
+  placed_parts mParts;
+  tenure mTenure = tenure::borrowed;
+};
+
+/// What the policy "guaranteed" keeps between decisions. All of it can be lost: it is rebuilt or
+/// learned again.
+struct policy_memory
+{
+  policy_options mOptions;
+  topology mTopology;
+  worker_health mHealth;
+  run_time_estimator mEstimator;
+  guarantee_binding mBinding;
+  shape_table mShapes;
+  std::vector<claim> mClaims;
+};
+
+} // namespace rattanpond::placement
--- /dev/null
+++ b/source/placement/run_time_estimator.cpp
@@ -0,0 +1,84 @@
+#include "placement/run_time_estimator.h"
+
+#include <algorithm>
+
+namespace rattanpond::placement {
+
+namespace {
+
+constexpr std::size_t kHistory = 64;
+/// Fewer observations than this do not outweigh the declared time.
+constexpr std::size_t kPriorObservations = 3;
+constexpr double kCautiousQuantile = 0.8;
+/// Declared times are known to be off by up to this factor before anything was seen.
+constexpr double kUnknownCaution = 2;
+/// A job that declares nothing is taken for this long.
+constexpr base::milliseconds kUndeclared{ 600'000 };
+/// A run past its estimate is expected to go on for this share of its age.
+constexpr double kOverrunShare = 0.5;
+
+double Quantile(std::vector<double> aValues, double aQuantile)
+{
+  auto const position =
+    static_cast<std::ptrdiff_t>(aQuantile * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), aValues.begin() + position, aValues.end());
+  return aValues[static_cast<std::size_t>(position)];
+}
+
+base::milliseconds Scale(base::milliseconds aTime, double aFactor)
+{
+  return base::milliseconds{ static_cast<std::int64_t>(static_cast<double>(aTime.count()) *
+                                                       aFactor) };
+}
+
+base::milliseconds Declared(base::milliseconds aDeclared)
+{
+  return aDeclared.count() > 0 ? aDeclared : kUndeclared;
+}
+
+} // namespace
+
+void run_time_estimator::Observe(std::string const& aWorkspace, base::milliseconds aDeclared,
+                                 base::milliseconds aReal)
+{
+  if (aDeclared.count() <= 0 || aReal.count() <= 0) {
+    return;
+  }
+  auto const ratio = static_cast<double>(aReal.count()) / static_cast<double>(aDeclared.count());
+  auto& seen = mHistories[aWorkspace];
+  if (seen.mRatios.size() < kHistory) {
+    seen.mRatios.push_back(ratio);
+  } else {
+    seen.mRatios[seen.mNext] = ratio;
+    seen.mNext = (seen.mNext + 1) % kHistory;
+  }
+  auto ratios = seen.mRatios;
+  ratios.insert(ratios.end(), kPriorObservations, 1.0);
+  seen.mMiddle = Quantile(ratios, 0.5);
+  seen.mHigh = Quantile(std::move(ratios), kCautiousQuantile);
+}
+
+base::milliseconds run_time_estimator::Expected(std::string const& aWorkspace,
+                                                base::milliseconds aDeclared) const
+{
+  auto const found = mHistories.find(aWorkspace);
+  return Scale(Declared(aDeclared), found == mHistories.end() ? 1 : found->second.mMiddle);
+}
+
+base::milliseconds run_time_estimator::Cautious(std::string const& aWorkspace,
+                                                base::milliseconds aDeclared) const
+{
+  auto const found = mHistories.find(aWorkspace);
+  return Scale(Declared(aDeclared),
+               found == mHistories.end() ? kUnknownCaution : found->second.mHigh);
+}
+
+base::milliseconds run_time_estimator::ExpectedLeft(std::string const& aWorkspace,
+                                                    base::milliseconds aDeclared,
+                                                    base::milliseconds aElapsed) const
+{
+  auto const expected = Expected(aWorkspace, aDeclared);
+  return expected > aElapsed ? expected - aElapsed : Scale(aElapsed, kOverrunShare);
+}
+
+} // namespace rattanpond::placement
--- /dev/null
+++ b/source/placement/topology.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "placement/types.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rattanpond::placement {
+
+/// Number of adjacency levels.
+inline constexpr std::size_t kLevels = 4;
+
+/// Workers in the order region, failure domain, rack, name, so that the workers of a group at any
+/// adjacency level are neighbours. Immutable.
+class topology
+{
+public:
+  topology() = default;
+  explicit topology(std::map<std::string, worker> const& aWorkers);
+
+  /// True if aWorkers are the same as those that this was made from, in every field.
+  bool IsMadeFrom(std::map<std::string, worker> const& aWorkers) const;
+
+  std::size_t size() const { return mWorkers.size(); }
+  worker const& Worker(std::size_t aIndex) const { return mWorkers[aIndex]; }
+  std::optional<std::uint32_t> Find(std::string const& aName) const;
+
+  /// Number of the group that holds a worker at a level; groups are numbered in worker order.
+  std::uint32_t Group(adjacency aLevel, std::size_t aWorker) const
+  {
+    return mGroups[static_cast<std::size_t>(aLevel)][aWorker];
+  }
+  std::uint32_t GroupCount(adjacency aLevel) const
+  {
+    return mGroups[static_cast<std::size_t>(aLevel)].empty()
+             ? 0
+             : mGroups[static_cast<std::size_t>(aLevel)].back() + 1;
+  }
+
+private:
+  void NumberGroups();
+
+  std::vector<worker> mWorkers;
+  /// Positions in name order, for the comparison with a map.
+  std::vector<std::uint32_t> mByName;
+  std::unordered_map<std::string, std::uint32_t> mIndex;
+  std::array<std::vector<std::uint32_t>, kLevels> mGroups;
+};
+
+} // namespace rattanpond::placement
--- a/source/placement/types.h
+++ b/source/placement/types.h
@@ -34,6 +34,10 @@
   std::uint32_t mCores = 0;
   std::uint64_t mMemoryMebibytes = 0;
   worker_availability mAvailability = worker_availability::available;
+  /// Time that running gangs have to checkpoint and leave while the worker is closed.
+  base::milliseconds mNotice{ 30'000 };
+
+  bool operator==(worker const&) const = default;
 };
 
 /// What one task of a gang needs.
--- /dev/null
+++ b/source/placement/worker_health.cpp
@@ -0,0 +1,102 @@
+#include "placement/worker_health.h"
+
+#include <algorithm>
+
+namespace rattanpond::placement {
+
+namespace {
+
+constexpr std::size_t kFailuresInARow = 3;
+constexpr std::size_t kFailedWorkersOfABadJob = 3;
+constexpr double kMaximumShare = 0.2;
+constexpr base::milliseconds kFirstProbe{ 60'000 };
+/// Probes of a worker that stays bad become rarer up to this.
+constexpr base::milliseconds kLastProbe{ 1'800'000 };
+
+} // namespace
+
+void worker_health::Ended(running_gang const& aGang, gang_outcome aOutcome,
+                          std::string const& aFailedWorker, base::time_point aNow)
+{
+  if (aOutcome == gang_outcome::finished) {
+    for (auto const& part : aGang.mParts) {
+      Succeeded(part.mWorker);
+    }
+    mFailuresByJob.erase(aGang.mJob);
+  } else if (aOutcome == gang_outcome::failed && !aFailedWorker.empty()) {
+    Failed(aGang.mJob, aFailedWorker, aNow);
+  }
+}
+
+void worker_health::Succeeded(std::string const& aWorker)
+{
+  mRecords.erase(aWorker);
+}
+
+void worker_health::Failed(std::string const& aJob, std::string const& aWorker,
+                           base::time_point aNow)
+{
+  mFailuresByJob[aJob].insert(aWorker);
+  auto& entry = mRecords[aWorker];
+  entry.mFailedJobs.insert(aJob);
+  if (entry.mIsQuarantined) {
+    entry.mBackoff = std::min(entry.mBackoff * 2, kLastProbe);
+    entry.mProbeAt = aNow + entry.mBackoff;
+  }
+}
+
+void worker_health::Refresh(std::size_t aWorkers, base::time_point aNow)
+{
+  mNow = aNow;
+  auto const limit = static_cast<std::size_t>(kMaximumShare * static_cast<double>(aWorkers));
+  auto quarantined = Quarantined().size();
+  for (auto& [name, entry] : mRecords) {
+    // A job that fails everywhere is no evidence against the workers it failed on.
+    auto const failures = std::count_if(entry.mFailedJobs.begin(), entry.mFailedJobs.end(),
+                                        [&](std::string const& aJob) { return !IsFaulty(aJob); });
+    if (!entry.mIsQuarantined && failures >= static_cast<std::ptrdiff_t>(kFailuresInARow) &&
+        quarantined < limit) {
+      entry.mIsQuarantined = true;
+      entry.mBackoff = kFirstProbe;
+      entry.mProbeAt = aNow + entry.mBackoff;
+      ++quarantined;
+    }
+  }
+}
+
+worker_health::verdict worker_health::Verdict(std::string const& aWorker) const
+{
+  auto const found = mRecords.find(aWorker);
+  if (found == mRecords.end() || !found->second.mIsQuarantined) {
+    return verdict::healthy;
+  }
+  return mNow >= found->second.mProbeAt ? verdict::probing : verdict::quarantined;
+}
+
+bool worker_health::IsFaulty(std::string const& aJob) const
+{
+  auto const found = mFailuresByJob.find(aJob);
+  if (found == mFailuresByJob.end()) {
+    return false;
+  }
+  auto const onGoodWorkers =
+    std::count_if(found->second.begin(), found->second.end(), [&](std::string const& aWorker) {
+      auto const entry = mRecords.find(aWorker);
+      return entry == mRecords.end() ||
+             (!entry->second.mIsQuarantined && entry->second.mFailedJobs.size() < kFailuresInARow);
+    });
+  return onGoodWorkers >= static_cast<std::ptrdiff_t>(kFailedWorkersOfABadJob);
+}
+
+std::vector<std::string> worker_health::Quarantined() const
+{
+  std::vector<std::string> names;
+  for (auto const& [name, entry] : mRecords) {
+    if (entry.mIsQuarantined) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+} // namespace rattanpond::placement
