Requests: Add the request and executor services

Callers' requests pass through an entry's traffic thread, a link and an agent to an executor. Pure cores decide: the agent's ledger (order, deduplication, refusal, memory of finished attempts), the entry's progress machine (what is proved not run), admission, routing, retry budget and ejection. Non-idempotent requests are claimed in the table before they are dispatched.

The message load_report (45) is new: it carries the agent's load, state and clock over the traffic links. The clock lets an agent with bounded memory tell "never started" from "forgotten".

Two loopback tests pass: an idempotent request end to end, and a key that runs once.

--- a/source/net/link.h
+++ b/source/net/link.h
@@ -46,6 +46,8 @@
   void Close(base::error aReason);
 
   bool IsOpen() const { return mIsOpen; }
+  /// True when everything that was sent has been given to the system.
+  bool IsFlushed() const { return mWriting.empty() && mQueued.empty(); }
   std::string const& Peer() const { return mPeer; }
   std::uint64_t BytesSent() const { return mBytesSent; }
   std::uint64_t BytesReceived() const { return mBytesReceived; }
--- a/source/net/message_type.h
+++ b/source/net/message_type.h
@@ -35,6 +35,7 @@
   cancel = 42,
   settle = 43,
   settle_reply = 44,
+  load_report = 45,
 
   job_submit = 50,
   job_cancel = 51,
@@ -70,6 +71,7 @@
     { type::cancel, "cancel" },
     { type::settle, "settle" },
     { type::settle_reply, "settle_reply" },
+    { type::load_report, "load_report" },
     { type::job_submit, "job_submit" },
     { type::job_cancel, "job_cancel" },
     { type::job_reply, "job_reply" },
--- /dev/null
+++ b/source/requests/answer_check.cpp
@@ -0,0 +1,29 @@
+#include "requests/answer_check.h"
+
+#include "base/identifiers.h"
+
+namespace rattanpond::requests {
+
+void Seal(answer& aAnswer)
+{
+  aAnswer.mLength = aAnswer.mBody.size();
+  aAnswer.mChecksum = base::Checksum(aAnswer.mBody.data(), aAnswer.mBody.size());
+}
+
+bool IsIntact(answer const& aAnswer)
+{
+  return aAnswer.mLength == aAnswer.mBody.size() &&
+         aAnswer.mChecksum == base::Checksum(aAnswer.mBody.data(), aAnswer.mBody.size());
+}
+
+base::bytes ToBytes(std::string_view aText)
+{
+  return { aText.begin(), aText.end() };
+}
+
+std::string ToText(base::bytes const& aBytes)
+{
+  return { aBytes.begin(), aBytes.end() };
+}
+
+} // namespace rattanpond::requests
--- /dev/null
+++ b/source/requests/attempt_memory.cpp
@@ -0,0 +1,62 @@
+#include "requests/attempt_memory.h"
+
+namespace rattanpond::requests {
+
+attempt_memory::attempt_memory(options aOptions)
+  : mOptions{ aOptions }
+{
+}
+
+void attempt_memory::RememberFinished(std::string const& aAttempt,
+                                      std::shared_ptr<answer const> aAnswer, base::time_point aNow)
+{
+  Remember(aAttempt, { .mTime = aNow, .mAnswer = std::move(aAnswer) });
+}
+
+void attempt_memory::RememberRefused(std::string const& aAttempt, base::time_point aNow)
+{
+  Remember(aAttempt, { .mTime = aNow, .mAnswer = nullptr });
+}
+
+attempt_memory::record const* attempt_memory::Find(std::string const& aAttempt) const
+{
+  auto const found = mRecords.find(aAttempt);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+bool attempt_memory::MayHaveForgotten(base::time_point aCreated) const
+{
+  return mHorizon && aCreated <= *mHorizon;
+}
+
+void attempt_memory::Expire(base::time_point aNow)
+{
+  while (!mOrder.empty() && mRecords.at(mOrder.front()).mTime + mOptions.mRetention < aNow) {
+    DropOldest();
+  }
+}
+
+void attempt_memory::Remember(std::string const& aAttempt, record aRecord)
+{
+  auto const bytes = aRecord.mAnswer ? aRecord.mAnswer->mBody.size() : 0;
+  if (!mRecords.emplace(aAttempt, std::move(aRecord)).second) {
+    return;
+  }
+  mOrder.push_back(aAttempt);
+  mBodyBytes += bytes;
+  while (mRecords.size() > mOptions.mMaximumRecords ||
+         (mBodyBytes > mOptions.mMaximumBodyBytes && mRecords.size() > 1)) {
+    DropOldest();
+  }
+}
+
+void attempt_memory::DropOldest()
+{
+  auto const found = mRecords.find(mOrder.front());
+  mHorizon = found->second.mTime;
+  mBodyBytes -= found->second.mAnswer ? found->second.mAnswer->mBody.size() : 0;
+  mRecords.erase(found);
+  mOrder.pop_front();
+}
+
+} // namespace rattanpond::requests
--- /dev/null
+++ b/source/requests/execution_ledger.cpp
@@ -0,0 +1,318 @@
+#include "requests/execution_ledger.h"
+
+#include <cassert>
+#include <tuple>
+
+namespace rattanpond::requests {
+
+using base::result_code;
+
+namespace {
+
+constexpr attempt_memory::options kRefusedIdempotent{ .mRetention = base::milliseconds{ 60'000 },
+                                                      .mMaximumRecords = 10'000 };
+
+} // namespace
+
+bool execution_ledger::queue_order::operator()(execution const* aLeft,
+                                               execution const* aRight) const
+{
+  auto const rank = [](execution const& aExecution) {
+    return std::make_tuple(aExecution.mDispatch->mUrgency, aExecution.mDeadline,
+                           aExecution.mSequence);
+  };
+  return rank(*aLeft) < rank(*aRight);
+}
+
+execution_ledger::execution_ledger(options aOptions)
+  : mOptions{ std::move(aOptions) }
+  , mMemory{ mOptions.mMemory }
+  , mRefusedIdempotent{ kRefusedIdempotent }
+{
+}
+
+void execution_ledger::Dispatch(peer_id aPeer, dispatch aDispatch, base::time_point aNow,
+                                actions& aActions)
+{
+  if (AnswerKnown(aPeer, aDispatch, aNow, aActions)) {
+    return;
+  }
+  execution added{ .mDispatch = std::make_shared<dispatch const>(std::move(aDispatch)),
+                   .mDeadline = {},
+                   .mSequence = mNextSequence++,
+                   .mStage = stage::queued,
+                   .mPeer = aPeer,
+                   .mWaiters = {} };
+  added.mDeadline = aNow + added.mDispatch->mRemaining;
+  if (!MakeRoom(added, aNow, aActions)) {
+    Refuse(aPeer, *added.mDispatch,
+           { outcome::refused_not_run, run_proof::never_started, result_code::queue_full,
+             "the queue of the target is full" },
+           aNow, aActions);
+    return;
+  }
+  auto const attempt = added.mDispatch->mAttempt;
+  auto const [inserted, isNew] = mExecutions.emplace(attempt, std::move(added));
+  assert(isNew);
+  mQueue.insert(&inserted->second);
+  StartQueued(aNow, aActions);
+}
+
+bool execution_ledger::AnswerKnown(peer_id aPeer, dispatch const& aDispatch, base::time_point aNow,
+                                   actions& aActions)
+{
+  auto const refuse = [&](result_code aCode, char const* aMessage) {
+    Refuse(aPeer, aDispatch,
+           { outcome::refused_not_run, run_proof::never_started, aCode, aMessage }, aNow, aActions);
+    return true;
+  };
+  auto const& attempt = aDispatch.mAttempt;
+  if (aDispatch.mIncarnation != mOptions.mIncarnation) {
+    return refuse(result_code::stale_incarnation, "the attempt is for another agent incarnation");
+  }
+  if (auto const live = mExecutions.find(attempt); live != mExecutions.end()) {
+    live->second.mPeer = aPeer;
+    return true;
+  }
+  auto const* const record = mMemory.Find(attempt);
+  if (record != nullptr && record->mAnswer) {
+    aActions.emplace_back(send_answer{ aPeer, record->mAnswer });
+    return true;
+  }
+  if (record != nullptr || mRefusedIdempotent.Find(attempt) != nullptr) {
+    return refuse(result_code::attempt_refused, "the attempt was refused before");
+  }
+  if (aDispatch.mRepeatability == repeatability::non_idempotent &&
+      mMemory.MayHaveForgotten(Created(aDispatch.mAgentClock))) {
+    // The attempt may be a late copy of one whose record is gone, so nothing can be proved.
+    aActions.emplace_back(send_answer{
+      aPeer, MakeAnswer(attempt, { outcome::timed_out_may_have_run, run_proof::may_have_run,
+                                   result_code::timed_out_may_have_run,
+                                   "the attempt is older than the agent's memory" }) });
+    return true;
+  }
+  if (aDispatch.mService != mOptions.mService) {
+    return refuse(result_code::unknown_service, "the target does not provide the service");
+  }
+  if (mState == membership::target_state::draining) {
+    return refuse(result_code::target_draining, "the target is draining");
+  }
+  if (aDispatch.mRemaining.count() <= 0) {
+    Refuse(aPeer, aDispatch,
+           { outcome::timed_out_not_run, run_proof::never_started, result_code::timed_out_not_run,
+             "the deadline passed before the request reached the target" },
+           aNow, aActions);
+    return true;
+  }
+  return false;
+}
+
+bool execution_ledger::MakeRoom(execution const& aNew, base::time_point aNow, actions& aActions)
+{
+  if (mRunning < mOptions.mSlots || mQueue.size() < mOptions.mMaximumQueued) {
+    return true;
+  }
+  Expire(aNow, aActions);
+  if (mQueue.size() < mOptions.mMaximumQueued) {
+    return true;
+  }
+  if (mQueue.empty()) {
+    return false;
+  }
+  // A more urgent request takes the place of the least urgent one. Within one urgency the queue is
+  // not reordered by arrivals, since that would only exchange one refusal for another.
+  auto const* const last = *mQueue.rbegin();
+  if (aNew.mDispatch->mUrgency >= last->mDispatch->mUrgency) {
+    return false;
+  }
+  EndQueued(last,
+            { outcome::refused_not_run, run_proof::never_started, result_code::queue_full,
+              "more urgent requests filled the queue of the target" },
+            aNow, aActions);
+  return true;
+}
+
+void execution_ledger::Cancel(peer_id aPeer, cancel const& aCancel, base::time_point aNow,
+                              actions& aActions)
+{
+  auto const found = mExecutions.find(aCancel.mAttempt);
+  if (found == mExecutions.end()) {
+    // Either the answer is on its way already, or the attempt never came; neither needs a reply.
+    return;
+  }
+  auto const isCaller = aCancel.mReason == cancel_reason::by_caller;
+  auto& live = found->second;
+  if (live.mStage == stage::queued) {
+    EndQueued(&live,
+              { isCaller ? outcome::cancelled : outcome::timed_out_not_run,
+                run_proof::never_started,
+                isCaller ? result_code::cancelled : result_code::timed_out_not_run,
+                "the request was withdrawn before it started" },
+              aNow, aActions);
+    return;
+  }
+  // The executor cannot be interrupted; the execution goes on without this caller.
+  auto const reply = MakeAnswer(
+    aCancel.mAttempt,
+    { isCaller ? outcome::cancelled : outcome::timed_out_may_have_run, run_proof::may_have_run,
+      isCaller ? result_code::cancelled : result_code::timed_out_may_have_run,
+      "the request was withdrawn while it was running" });
+  aActions.emplace_back(send_answer{ aPeer, reply });
+  live.mPeer = 0;
+}
+
+void execution_ledger::Settle(peer_id aPeer, settle const& aSettle, base::time_point aNow,
+                              actions& aActions)
+{
+  settle_reply reply{ .mQuery = aSettle.mQuery,
+                      .mState = settle_state::never_started,
+                      .mAnswer = std::nullopt };
+  auto const* const record = mMemory.Find(aSettle.mAttempt);
+  if (aSettle.mIncarnation != mOptions.mIncarnation) {
+    reply.mState = settle_state::unknown_incarnation;
+  } else if (auto const live = mExecutions.find(aSettle.mAttempt); live != mExecutions.end()) {
+    live->second.mWaiters.push_back({ aPeer, aSettle.mQuery });
+    reply.mState = settle_state::running;
+  } else if (record != nullptr && record->mAnswer) {
+    reply.mState = settle_state::finished;
+    reply.mAnswer = *record->mAnswer;
+  } else if (record == nullptr && mMemory.MayHaveForgotten(Created(aSettle.mAgentClock))) {
+    reply.mState = settle_state::forgotten;
+  } else {
+    // From here on the attempt is refused even if its dispatch is still on the way.
+    mMemory.RememberRefused(aSettle.mAttempt, aNow);
+  }
+  aActions.emplace_back(send_settle_reply{ aPeer, std::move(reply) });
+}
+
+void execution_ledger::Finished(std::string const& aAttempt, answer aAnswer, base::time_point aNow,
+                                actions& aActions)
+{
+  assert(mRunning > 0);
+  --mRunning;
+  aAnswer.mAttempt = aAttempt;
+  aAnswer.mQueued = static_cast<std::uint32_t>(mQueue.size());
+  aAnswer.mRunning = static_cast<std::uint32_t>(mRunning);
+  Conclude(aAttempt, std::make_shared<answer const>(std::move(aAnswer)), aNow, aActions);
+  StartQueued(aNow, aActions);
+}
+
+void execution_ledger::PeerClosed(peer_id aPeer)
+{
+  for (auto& [attempt, live] : mExecutions) {
+    if (live.mPeer == aPeer) {
+      live.mPeer = 0;
+    }
+    std::erase_if(live.mWaiters, [=](waiter const& aWaiter) { return aWaiter.mPeer == aPeer; });
+  }
+}
+
+void execution_ledger::Expire(base::time_point aNow, actions& aActions)
+{
+  std::vector<execution const*> late;
+  for (auto const* const waiting : mQueue) {
+    if (waiting->mDeadline <= aNow) {
+      late.push_back(waiting);
+    }
+  }
+  for (auto const* const waiting : late) {
+    EndQueued(waiting,
+              { outcome::timed_out_not_run, run_proof::never_started,
+                result_code::timed_out_not_run, "the deadline passed in the queue of the target" },
+              aNow, aActions);
+  }
+  mMemory.Expire(aNow);
+  mRefusedIdempotent.Expire(aNow);
+}
+
+void execution_ledger::Refuse(peer_id aPeer, dispatch const& aDispatch, ending aEnding,
+                              base::time_point aNow, actions& aActions)
+{
+  auto& memory =
+    aDispatch.mRepeatability == repeatability::non_idempotent ? mMemory : mRefusedIdempotent;
+  memory.RememberRefused(aDispatch.mAttempt, aNow);
+  aActions.emplace_back(send_answer{ aPeer, MakeAnswer(aDispatch.mAttempt, std::move(aEnding)) });
+}
+
+void execution_ledger::EndQueued(execution const* aExecution, ending aEnding, base::time_point aNow,
+                                 actions& aActions)
+{
+  assert(aExecution->mStage == stage::queued);
+  mQueue.erase(aExecution);
+  auto const attempt = aExecution->mDispatch->mAttempt;
+  Conclude(attempt, MakeAnswer(attempt, std::move(aEnding)), aNow, aActions);
+}
+
+void execution_ledger::StartQueued(base::time_point aNow, actions& aActions)
+{
+  while (mRunning < mOptions.mSlots && !mQueue.empty()) {
+    auto const* const first = *mQueue.begin();
+    if (first->mDeadline <= aNow) {
+      EndQueued(first,
+                { outcome::timed_out_not_run, run_proof::never_started,
+                  result_code::timed_out_not_run,
+                  "the deadline passed in the queue of the target" },
+                aNow, aActions);
+      continue;
+    }
+    mQueue.erase(mQueue.begin());
+    auto& started = mExecutions.at(first->mDispatch->mAttempt);
+    started.mStage = stage::running;
+    ++mRunning;
+    aActions.emplace_back(start_execution{ started.mDispatch, started.mDeadline });
+  }
+}
+
+void execution_ledger::Conclude(std::string const& aAttempt,
+                                std::shared_ptr<answer const> const& aAnswer, base::time_point aNow,
+                                actions& aActions)
+{
+  auto const found = mExecutions.find(aAttempt);
+  assert(found != mExecutions.end());
+  auto const ended = std::move(found->second);
+  mExecutions.erase(found);
+  auto const neverStarted = aAnswer->mProof == run_proof::never_started;
+  if (ended.mDispatch->mRepeatability == repeatability::idempotent) {
+    if (neverStarted) {
+      mRefusedIdempotent.RememberRefused(aAttempt, aNow);
+    }
+  } else if (neverStarted) {
+    mMemory.RememberRefused(aAttempt, aNow);
+  } else {
+    mMemory.RememberFinished(aAttempt, aAnswer, aNow);
+  }
+  if (ended.mPeer != 0) {
+    aActions.emplace_back(send_answer{ ended.mPeer, aAnswer });
+  }
+  for (auto const& waiting : ended.mWaiters) {
+    settle_reply reply{ .mQuery = waiting.mQuery,
+                        .mState =
+                          neverStarted ? settle_state::never_started : settle_state::finished,
+                        .mAnswer = std::nullopt };
+    if (!neverStarted) {
+      reply.mAnswer = *aAnswer;
+    }
+    aActions.emplace_back(send_settle_reply{ waiting.mPeer, std::move(reply) });
+  }
+}
+
+std::shared_ptr<answer const> execution_ledger::MakeAnswer(std::string const& aAttempt,
+                                                           ending aEnding) const
+{
+  answer made;
+  made.mAttempt = aAttempt;
+  made.mOutcome = aEnding.mOutcome;
+  made.mProof = aEnding.mProof;
+  made.mCode = aEnding.mCode;
+  made.mMessage = std::move(aEnding.mMessage);
+  made.mQueued = static_cast<std::uint32_t>(mQueue.size());
+  made.mRunning = static_cast<std::uint32_t>(mRunning);
+  return std::make_shared<answer const>(std::move(made));
+}
+
+base::time_point execution_ledger::Created(base::milliseconds aAgentClock) const
+{
+  return mOptions.mStart + aAgentClock;
+}
+
+} // namespace rattanpond::requests
--- /dev/null
+++ b/source/requests/executor_call.cpp
@@ -0,0 +1,119 @@
+#include "requests/executor_call.h"
+
+#include "requests/answer_check.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rattanpond::requests {
+
+using base::result_code;
+
+namespace {
+
+// These describe one connection or are written again by our own server.
+constexpr std::array<std::string_view, 6> kConnectionHeaders{ "connection",        "keep-alive",
+                                                              "content-length",    "upgrade",
+                                                              "transfer-encoding", "trailer" };
+
+bool IsConnectionHeader(std::string const& aName)
+{
+  std::string lower = aName;
+  std::ranges::transform(lower, lower.begin(), [](char aCharacter) {
+    return aCharacter >= 'A' && aCharacter <= 'Z' ? static_cast<char>(aCharacter + ('a' - 'A'))
+                                                  : aCharacter;
+  });
+  return std::ranges::find(kConnectionHeaders, lower) != kConnectionHeaders.end();
+}
+
+/// Without a length or chunks the body ends with the connection, and a connection that was cut
+/// looks the same as one that was closed.
+bool HasDefiniteEnd(net::http_response const& aResponse)
+{
+  return aResponse.mStatus == 204 || aResponse.mStatus == 304 ||
+         !aResponse.mHeaders.Value("Content-Length").empty() ||
+         !aResponse.mHeaders.Value("Transfer-Encoding").empty();
+}
+
+answer Ended(outcome aOutcome, run_proof aProof, result_code aCode, std::string_view aMessage)
+{
+  answer made;
+  made.mOutcome = aOutcome;
+  made.mProof = aProof;
+  made.mCode = aCode;
+  made.mMessage = aMessage;
+  return made;
+}
+
+answer LostAnswer(repeatability aRepeatability, std::string_view aMessage)
+{
+  return aRepeatability == repeatability::idempotent
+           ? Ended(outcome::failed_by_target, run_proof::may_have_run,
+                   result_code::failed_by_target, aMessage)
+           : Ended(outcome::timed_out_may_have_run, run_proof::may_have_run,
+                   result_code::timed_out_may_have_run, aMessage);
+}
+
+answer FromError(repeatability aRepeatability, base::error const& aError)
+{
+  switch (aError.mCode) {
+    case result_code::connect_failed:
+    case result_code::queue_full:
+      // The client states that no byte was sent.
+      return Ended(outcome::refused_not_run, run_proof::never_started, aError.mCode,
+                   aError.mMessage);
+    case result_code::timed_out:
+      return Ended(outcome::timed_out_may_have_run, run_proof::may_have_run,
+                   result_code::timed_out_may_have_run, "the executor did not answer in time");
+    case result_code::message_too_large:
+      return Ended(outcome::failed_by_target, run_proof::may_have_run,
+                   result_code::message_too_large, "the answer of the executor is too large");
+    default:
+      return LostAnswer(aRepeatability, "the answer of the executor was cut: " + aError.mMessage);
+  }
+}
+
+} // namespace
+
+net::http_request ToExecutorRequest(dispatch const& aDispatch, std::string const& aPath,
+                                    base::milliseconds aRemaining)
+{
+  net::http_request request{
+    .mMethod = "POST", .mTarget = aPath, .mHeaders = {}, .mBody = ToText(aDispatch.mBody)
+  };
+  for (auto const& header : aDispatch.mHeaders) {
+    request.mHeaders.Add(header.mName, header.mValue);
+  }
+  std::pair<std::string_view, std::string> const own[] = {
+    { "X-Rattanpond-Attempt", aDispatch.mAttempt },
+    { "X-Rattanpond-Workspace", aDispatch.mWorkspace },
+    { "X-Rattanpond-Deadline-Ms", std::to_string(aRemaining.count()) },
+  };
+  for (auto const& [name, value] : own) {
+    request.mHeaders.Add(std::string{ name }, value);
+  }
+  return request;
+}
+
+answer FromExecutorReply(repeatability aRepeatability, base::reply<net::http_response> aReply)
+{
+  if (!base::Succeeded(aReply)) {
+    return FromError(aRepeatability, base::Error(aReply));
+  }
+  auto& response = std::get<0>(aReply);
+  if (!HasDefiniteEnd(response)) {
+    return LostAnswer(aRepeatability, "the answer of the executor has no definite end");
+  }
+  auto made = Ended(outcome::done, run_proof::may_have_run, result_code::ok, "");
+  made.mStatus = response.mStatus;
+  for (auto const& [name, value] : response.mHeaders) {
+    if (!IsConnectionHeader(name)) {
+      made.mHeaders.push_back({ name, value });
+    }
+  }
+  made.mBody = ToBytes(response.mBody);
+  Seal(made);
+  return made;
+}
+
+} // namespace rattanpond::requests
--- /dev/null
+++ b/source/requests/messages.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "configuration/contract.h"
+#include "membership/target_description.h"
+#include "net/frame.h"
+#include "requests/outcome.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rattanpond::requests {
+
+enum class cancel_reason
+{
+  by_caller,
+  deadline_passed
+};
+
+/// What an agent knows about an attempt that somebody asks about.
+enum class settle_state
+{
+  /// The answer is included.
+  finished,
+  /// Another settle_reply follows when the attempt has ended.
+  running,
+  /// The agent refuses this attempt for ever.
+  never_started,
+  /// The agent has dropped its oldest records and cannot exclude that the attempt ran.
+  forgotten,
+  /// The question is about an earlier incarnation of the agent.
+  unknown_incarnation
+};
+
+} // namespace rattanpond::requests
+
+namespace rattanpond::base {
+
+template<>
+struct enum_names<requests::cancel_reason>
+{
+  using type = requests::cancel_reason;
+  static constexpr enum_name<type> kTable[] = { { type::by_caller, "by_caller" },
+                                                { type::deadline_passed, "deadline_passed" } };
+};
+
+template<>
+struct enum_names<requests::settle_state>
+{
+  using type = requests::settle_state;
+  static constexpr enum_name<type> kTable[] = {
+    { type::finished, "finished" },
+    { type::running, "running" },
+    { type::never_started, "never_started" },
+    { type::forgotten, "forgotten" },
+    { type::unknown_incarnation, "unknown_incarnation" },
+  };
+};
+
+} // namespace rattanpond::base
+
+namespace rattanpond::requests {
+
+struct header_field
+{
+  std::string mName;
+  std::string mValue;
+
+  bool operator==(header_field const&) const = default;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Required("name", &header_field::mName),
+                           base::Required("value", &header_field::mValue));
+  }
+};
+
+/// Gives one attempt of a request to an agent. An entry sends each attempt once.
+struct dispatch
+{
+  static constexpr net::message_type kType = net::message_type::dispatch;
+
+  std::string mAttempt;
+  /// Agent incarnation that the attempt is meant for.
+  std::string mIncarnation;
+  std::string mWorkspace;
+  std::string mService;
+  /// Time left at the moment of sending; clocks of different machines are not compared.
+  base::milliseconds mRemaining{ 0 };
+  configuration::urgency mUrgency = configuration::urgency::normal;
+  repeatability mRepeatability = repeatability::non_idempotent;
+  /// The agent's clock when the entry last heard of it before it created the attempt.
+  base::milliseconds mAgentClock{ 0 };
+  std::vector<header_field> mHeaders;
+  base::bytes mBody;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(
+      base::Field("attempt", &dispatch::mAttempt),
+      base::Field("incarnation", &dispatch::mIncarnation),
+      base::Field("workspace", &dispatch::mWorkspace), base::Field("service", &dispatch::mService),
+      base::Field("remaining_ms", &dispatch::mRemaining, { 0, 86'400'000 }),
+      base::Field("urgency", &dispatch::mUrgency),
+      base::Field("repeatability", &dispatch::mRepeatability),
+      base::Field("agent_clock_ms", &dispatch::mAgentClock),
+      base::Field("headers", &dispatch::mHeaders), base::Field("body", &dispatch::mBody));
+  }
+};
+
+/// The end of one attempt.
+struct answer
+{
+  static constexpr net::message_type kType = net::message_type::answer;
+
+  std::string mAttempt;
+  outcome mOutcome = outcome::failed_by_target;
+  run_proof mProof = run_proof::may_have_run;
+  base::result_code mCode = base::result_code::internal;
+  std::string mMessage;
+  /// Status, headers and body of the executor, for outcome done only.
+  std::uint32_t mStatus = 0;
+  std::vector<header_field> mHeaders;
+  base::bytes mBody;
+  std::uint64_t mLength = 0;
+  /// CRC-32C of the body.
+  std::uint32_t mChecksum = 0;
+  /// Time in the executor, 0 if it was not reached.
+  std::uint64_t mServiceMicroseconds = 0;
+  /// Load of the agent after this attempt.
+  std::uint32_t mQueued = 0;
+  std::uint32_t mRunning = 0;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(
+      base::Field("attempt", &answer::mAttempt), base::Field("outcome", &answer::mOutcome),
+      base::Field("proof", &answer::mProof), base::Field("code", &answer::mCode),
+      base::Field("message", &answer::mMessage),
+      base::Field("status", &answer::mStatus, { 0, 599 }),
+      base::Field("headers", &answer::mHeaders), base::Field("body", &answer::mBody),
+      base::Field("length", &answer::mLength), base::Field("checksum", &answer::mChecksum),
+      base::Field("service_us", &answer::mServiceMicroseconds),
+      base::Field("queued", &answer::mQueued), base::Field("running", &answer::mRunning));
+  }
+};
+
+/// Ends an attempt early. The agent answers with the truth about it.
+struct cancel
+{
+  static constexpr net::message_type kType = net::message_type::cancel;
+
+  std::string mAttempt;
+  cancel_reason mReason = cancel_reason::by_caller;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("attempt", &cancel::mAttempt),
+                           base::Field("reason", &cancel::mReason));
+  }
+};
+
+/// Asks what became of an attempt.
+struct settle
+{
+  static constexpr net::message_type kType = net::message_type::settle;
+
+  /// Chosen by the asker; every reply repeats it.
+  std::string mQuery;
+  std::string mAttempt;
+  std::string mIncarnation;
+  /// As in dispatch, from the claim.
+  base::milliseconds mAgentClock{ 0 };
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("query", &settle::mQuery),
+                           base::Field("attempt", &settle::mAttempt),
+                           base::Field("incarnation", &settle::mIncarnation),
+                           base::Field("agent_clock_ms", &settle::mAgentClock));
+  }
+};
+
+struct settle_reply
+{
+  static constexpr net::message_type kType = net::message_type::settle_reply;
+
+  std::string mQuery;
+  settle_state mState = settle_state::forgotten;
+  std::optional<answer> mAnswer;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("query", &settle_reply::mQuery),
+                           base::Field("state", &settle_reply::mState),
+                           base::Field("answer", &settle_reply::mAnswer));
+  }
+};
+
+/// Sent by an agent on each new traffic link, on a change of state, and every second.
+struct load_report
+{
+  static constexpr net::message_type kType = net::message_type::load_report;
+
+  std::string mIncarnation;
+  membership::target_state mState = membership::target_state::serving;
+  std::uint32_t mQueued = 0;
+  std::uint32_t mRunning = 0;
+  /// Time since the agent started.
+  base::milliseconds mAgentClock{ 0 };
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("incarnation", &load_report::mIncarnation),
+                           base::Field("state", &load_report::mState),
+                           base::Field("queued", &load_report::mQueued),
+                           base::Field("running", &load_report::mRunning),
+                           base::Field("agent_clock_ms", &load_report::mAgentClock));
+  }
+};
+
+} // namespace rattanpond::requests
--- /dev/null
+++ b/source/requests/request_claims.cpp
@@ -0,0 +1,303 @@
+#include "requests/answer_check.h"
+#include "requests/request_runner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// NOTE: GCC 12 inlines the operator new of some coroutine frames and not the operator delete, and
+// then takes the pair for a mismatch.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace rattanpond::requests {
+
+namespace asio = boost::asio;
+using base::result_code;
+
+namespace {
+
+constexpr base::milliseconds kAskAgainDelay{ 50 };
+constexpr base::milliseconds kStoreRetryDelay{ 100 };
+constexpr base::milliseconds kFinishTimeLimit{ 5000 };
+constexpr int kFinishTries = 3;
+
+request_result MayHaveRun(std::string aMessage)
+{
+  return Ending(outcome::timed_out_may_have_run, result_code::timed_out_may_have_run,
+                std::move(aMessage));
+}
+
+} // namespace
+
+asio::awaitable<request_result> request_runner::RunClaimed(active_ptr aActive)
+{
+  claim_step step;
+  while (!step.mResult) {
+    if (step.mFollowed) {
+      step = co_await Follow(aActive, *step.mFollowed);
+    } else {
+      step = co_await ClaimAndGive(aActive, step.mRevision);
+    }
+  }
+  co_return std::move(*step.mResult);
+}
+
+asio::awaitable<request_runner::claim_step> request_runner::ClaimAndGive(active_ptr aActive,
+                                                                         std::uint64_t aRevision)
+{
+  if (auto const ended = EndedEarly(*aActive)) {
+    co_return co_await GiveUp(aActive, aRevision, *ended);
+  }
+  auto const chosen = Choose(*aActive);
+  if (auto const* const refusal = std::get_if<result_code>(&chosen)) {
+    co_return co_await GiveUp(aActive, aRevision, Refusal(*aActive, *refusal));
+  }
+  aActive->BeginAttempt(NextAttempt(), std::get<router::choice>(chosen));
+  auto const row = MakeRow(*aActive);
+  auto const key = ClaimKey(aActive->mDescription);
+  auto const written = co_await mClaims->Write(key, row, aRevision, aActive->mDeadline);
+  if (!base::Succeeded(written) && base::Error(written).mCode == result_code::condition_failed) {
+    co_return co_await AfterNeverStarted(aActive, aActive->mAttempt, next_step::claim_again);
+  }
+  if (!base::Succeeded(written)) {
+    if (aRevision != platform::kAbsent) {
+      // Another caller may hold the key by now, and the store cannot tell.
+      aActive->mProgress.Follow();
+    }
+    auto const ended = EndedEarly(*aActive);
+    co_return claim_step{ .mResult = Conclude(
+                            *aActive, ended.value_or(Ending(outcome::refused_not_run,
+                                                            result_code::store_unavailable,
+                                                            base::Error(written).mMessage))) };
+  }
+  auto step = next_step::retry;
+  if (EndedEarly(*aActive)) {
+    step = next_step::finish;
+  } else if (Give(aActive, row.mAgentClock) == link_state::up) {
+    step = co_await AwaitEnd(aActive);
+  }
+  co_return co_await AfterClaimedEnd(aActive, row, step);
+}
+
+asio::awaitable<request_runner::claim_step> request_runner::AfterClaimedEnd(active_ptr aActive,
+                                                                            claim_row aRow,
+                                                                            next_step aStep)
+{
+  if (aStep == next_step::settle) {
+    co_return claim_step{ .mFollowed = std::move(aRow) };
+  }
+  if (aActive->mProgress.IsProvedNotRun()) {
+    co_return co_await AfterNeverStarted(aActive, aRow.mAttempt, aStep);
+  }
+  if (aActive->mAnswer) {
+    FinishLater(ClaimKey(aActive->mDescription), std::move(aRow), *aActive->mAnswer);
+  }
+  co_return claim_step{ .mResult = Conclude(*aActive, ResultOf(*aActive)) };
+}
+
+asio::awaitable<request_runner::claim_step> request_runner::AfterNeverStarted(active_ptr aActive,
+                                                                              std::string aAttempt,
+                                                                              next_step aStep)
+{
+  auto const read = co_await ReadPatiently(aActive);
+  if (!base::Succeeded(read)) {
+    aActive->mProgress.Follow();
+    co_return claim_step{ .mResult =
+                            Conclude(*aActive, MayHaveRun("the store does not tell who holds the "
+                                                          "key")) };
+  }
+  auto const& found = std::get<0>(read);
+  if (!found) {
+    co_return claim_step{};
+  }
+  auto const isHeld =
+    found->mRow.mAttempt == aAttempt && found->mRow.mState == claim_state::claimed;
+  if (!isHeld) {
+    co_return Examine(*aActive, *found);
+  }
+  auto const isFinal = aStep == next_step::finish || EndedEarly(*aActive);
+  if (isFinal || !MayRetry(*aActive, aStep)) {
+    auto const ended = EndedEarly(*aActive);
+    co_return co_await GiveUp(aActive, found->mRevision,
+                              aActive->mAnswer || !ended ? ResultOf(*aActive) : *ended);
+  }
+  co_return claim_step{ .mRevision = found->mRevision };
+}
+
+request_runner::claim_step request_runner::Examine(active_request const& aActive,
+                                                   found_claim const& aFound)
+{
+  auto const& row = aFound.mRow;
+  if (row.mFingerprint != Fingerprint(aActive.mDescription)) {
+    return { .mResult = Ending(outcome::refused_not_run, result_code::key_reused,
+                               "the key belongs to another request") };
+  }
+  if (row.mState == claim_state::not_run) {
+    return { .mRevision = aFound.mRevision };
+  }
+  auto stored = row.mAnswer ? FromStored(*row.mAnswer) : std::nullopt;
+  if (stored) {
+    return { .mResult = std::move(stored) };
+  }
+  return { .mFollowed = row };
+}
+
+asio::awaitable<request_runner::claim_step> request_runner::Follow(active_ptr aActive,
+                                                                   claim_row aRow)
+{
+  aActive->mProgress.Follow();
+  aActive->mTarget = aRow.mTarget;
+  aActive->mAnswer.reset();
+  auto lastKnown = base::Now();
+  while (aActive->mWish == caller_wish::answer && aActive->Remaining().count() > 0) {
+    auto const now = base::Now();
+    if (mAgents->Knows(aRow.mTarget)) {
+      lastKnown = now;
+    } else if (now - lastKnown > mOptions.mGoneAfter) {
+      co_return claim_step{ .mResult = MayHaveRun("the agent that held the request is gone") };
+    }
+    auto const step = co_await AskOnce(aActive, aRow);
+    if (step == next_step::finish) {
+      co_return claim_step{ .mResult = SettledResult(*aActive, aRow) };
+    }
+    if (step == next_step::claim_again) {
+      co_return co_await AfterNeverStarted(aActive, aRow.mAttempt, step);
+    }
+    co_await aActive->Wait(std::min(aActive->mDeadline, base::Now() + kAskAgainDelay));
+  }
+  auto const isCancelled = aActive->mWish == caller_wish::cancel;
+  co_return claim_step{ .mResult = isCancelled
+                                     ? Ending(outcome::cancelled, result_code::cancelled,
+                                              "the request was cancelled; it may have run")
+                                     : MayHaveRun("the outcome was not known in time") };
+}
+
+asio::awaitable<next_step> request_runner::AskOnce(active_ptr aActive, claim_row aRow)
+{
+  auto const link = mAgents->Link(aRow.mTarget);
+  if (!link) {
+    co_return next_step::wait;
+  }
+  auto const query = NextAttempt();
+  mByQuery[query] = aActive;
+  aActive->mSettled.reset();
+  aActive->mLink = link_state::up;
+  link->Send(settle{ .mQuery = query,
+                     .mAttempt = aRow.mAttempt,
+                     .mIncarnation = aRow.mIncarnation,
+                     .mAgentClock = aRow.mAgentClock });
+  auto step = next_step::wait;
+  while (step == next_step::wait && aActive->mLink == link_state::up &&
+         aActive->mWish == caller_wish::answer && aActive->Remaining().count() > 0) {
+    co_await aActive->Wait(aActive->mDeadline);
+    if (aActive->mSettled) {
+      step = aActive->mProgress.Settled(*aActive->mSettled);
+      if (step == next_step::wait) {
+        aActive->mSettled.reset();
+      }
+    }
+  }
+  mByQuery.erase(query);
+  co_return step;
+}
+
+request_result request_runner::SettledResult(active_request& aActive, claim_row const& aRow)
+{
+  auto& reply = *aActive.mSettled;
+  if (reply.mState != settle_state::finished || !reply.mAnswer) {
+    return MayHaveRun(reply.mState == settle_state::forgotten
+                        ? "the agent no longer remembers the request"
+                        : "the agent that held the request was replaced");
+  }
+  if (!IsIntact(*reply.mAnswer)) {
+    mCorruptAnswers.Add();
+    return MayHaveRun("the answer was damaged on its way");
+  }
+  FinishLater(ClaimKey(aActive.mDescription), aRow, *reply.mAnswer);
+  return aActive.mProgress.Conclude(FromAnswer(std::move(*reply.mAnswer)));
+}
+
+asio::awaitable<base::reply<std::optional<found_claim>>> request_runner::ReadPatiently(
+  active_ptr aActive)
+{
+  auto const key = ClaimKey(aActive->mDescription);
+  auto read = co_await mClaims->Read(key);
+  while (!base::Succeeded(read) && aActive->mWish == caller_wish::answer &&
+         aActive->Remaining() > kStoreRetryDelay) {
+    co_await aActive->Wait(base::Now() + kStoreRetryDelay);
+    read = co_await mClaims->Read(key);
+  }
+  co_return read;
+}
+
+asio::awaitable<request_runner::claim_step> request_runner::GiveUp(active_ptr aActive,
+                                                                   std::uint64_t aRevision,
+                                                                   request_result aResult)
+{
+  if (aRevision != platform::kAbsent) {
+    auto row = MakeRow(*aActive);
+    row.mState = claim_state::not_run;
+    auto const written = co_await mClaims->Write(ClaimKey(aActive->mDescription), std::move(row),
+                                                 aRevision, base::Now() + kFinishTimeLimit);
+    if (!base::Succeeded(written)) {
+      // Another caller may have claimed the key, so the request may be running for that one.
+      aActive->mProgress.Follow();
+    }
+  }
+  co_return claim_step{ .mResult = Conclude(*aActive, std::move(aResult)) };
+}
+
+claim_row request_runner::MakeRow(active_request const& aActive) const
+{
+  return { .mState = claim_state::claimed,
+           .mAttempt = aActive.mAttempt,
+           .mTarget = aActive.mTarget,
+           .mIncarnation = aActive.mIncarnation,
+           .mAgentClock = mAgents->AgentClock(aActive.mTarget),
+           .mFingerprint = Fingerprint(aActive.mDescription),
+           .mWrittenAt = 0,
+           .mAnswer = std::nullopt };
+}
+
+void request_runner::FinishLater(std::string aKey, claim_row aRow, answer const& aAnswer)
+{
+  if (aAnswer.mOutcome != outcome::done) {
+    return;
+  }
+  aRow.mState = claim_state::finished;
+  aRow.mAnswer = ToStored(aAnswer);
+  // The caller does not wait for this write: until it is done the agent's memory has the answer.
+  asio::co_spawn(
+    mContext,
+    [self = shared_from_this(), key = std::move(aKey), row = std::move(aRow)] {
+      return self->Finish(key, row);
+    },
+    asio::detached);
+}
+
+asio::awaitable<void> request_runner::Finish(std::string aKey, claim_row aRow)
+{
+  auto const self = shared_from_this();
+  for (int count = 0; count < kFinishTries; ++count) {
+    auto const read = co_await mClaims->Read(aKey);
+    if (base::Succeeded(read)) {
+      auto const& found = std::get<0>(read);
+      if (!found || found->mRow.mAttempt != aRow.mAttempt ||
+          found->mRow.mState != claim_state::claimed) {
+        co_return;
+      }
+      auto const written =
+        co_await mClaims->Write(aKey, aRow, found->mRevision, base::Now() + kFinishTimeLimit);
+      if (base::Succeeded(written)) {
+        co_return;
+      }
+    }
+    asio::steady_timer timer{ mContext, base::milliseconds{ 1000 } };
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+} // namespace rattanpond::requests
