Net: Let a draining server ask clients for new connections

A client that reuses a kept connection just as the server closes it loses its request. Answers ask for a new connection during the notice, so that idle connections are rare when they are closed.

--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -110,8 +110,11 @@
 
   tcp::endpoint Endpoint() const { return mAcceptor.local_endpoint(); }
 
+  void AnnounceClose() { mClosesConnections = true; }
+
   void Drain()
   {
+    mClosesConnections = true;
     mIsDraining = true;
     boost::system::error_code ignored;
     mAcceptor.close(ignored);
@@ -221,7 +224,7 @@
     aStream.expires_never();
     auto response = co_await Handle(FromBeast(parser.release()));
     co_return co_await WriteAnswer(aStream, std::move(response), version,
-                                   wantsKeepAlive && !mIsDraining);
+                                   wantsKeepAlive && !mClosesConnections);
   }
 
   asio::awaitable<http_response> Handle(http_request aRequest)
@@ -253,6 +256,7 @@
   std::set<beast::tcp_stream*> mStreams;
   std::set<beast::tcp_stream*> mIdle;
   std::atomic<std::size_t> mActive = 0;
+  bool mClosesConnections = false;
   bool mIsDraining = false;
 };
 
