--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -283,6 +283,11 @@
   return mImplementation->Endpoint();
 }
 
+void http_server::AnnounceClose()
+{
+  mImplementation->AnnounceClose();
+}
+
 void http_server::Drain()
 {
   mImplementation->Drain();
