Daemons: Assemble the entry and the agent

The entry runs configuration, membership and scheduling on the control thread and requests on traffic threads; the agent serves a worker on the control thread or an executor on a traffic thread.

--- /dev/null
+++ b/source/daemons/traffic_thread.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "configuration/access_control.h"
+#include "net/http_router.h"
+#include "net/http_server.h"
+#include "platform/http_table.h"
+#include "requests/request_service.h"
+
+#include <memory>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace rattanpond::daemons {
+
+/// One thread of an entry that serves HTTP. It carries requests itself and hands everything else to
+/// the control thread.
+class traffic_thread
+{
+public:
+  struct options
+  {
+    net::tcp::endpoint mHttpEndpoint;
+    requests::request_service::options mRequests;
+    platform::platform_client::options mTable;
+  };
+
+  static base::result<std::unique_ptr<traffic_thread>> Create(
+    options aOptions, boost::asio::io_context& aControl, net::http_router const& aControlRouter,
+    configuration::access_control const& aAccess, base::metrics_registry& aMetrics);
+  ~traffic_thread();
+  traffic_thread(traffic_thread const&) = delete;
+  traffic_thread& operator=(traffic_thread const&) = delete;
+
+  void Start();
+  /// Ends the thread; what it still carries is lost.
+  void Stop();
+
+  requests::request_service& Requests() { return *mRequests; }
+  /// Safe from every thread; see net::http_server.
+  void AnnounceClose();
+  void Drain();
+  std::size_t ActiveRequests() const { return mServer->ActiveRequests(); }
+
+private:
+  traffic_thread(options const& aOptions, boost::asio::io_context& aControl,
+                 net::http_router const& aControlRouter,
+                 configuration::access_control const& aAccess, base::metrics_registry& aMetrics);
+
+  boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest);
+
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::io_context& mControl;
+  net::http_router const& mControlRouter;
+  net::http_router mRouter;
+  platform::http_table mTable;
+  std::unique_ptr<requests::request_service> mRequests;
+  std::unique_ptr<net::http_server> mServer;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
+  std::thread mThread;
+};
+
+} // namespace rattanpond::daemons
