Net: Add answers that are cut off or not sent

Stand-ins simulate lost and truncated answers with a real connection that closes early. The handler states it in http_response::mTransfer; the default sends the whole answer as before.

--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -55,11 +55,21 @@
   std::string mBody;
 };
 
+/// How much of an answer is sent before the connection closes. Stand-ins use the values other than
+/// whole to simulate answers that are lost or cut off.
+enum class answer_transfer
+{
+  whole,
+  half,
+  none
+};
+
 struct http_response
 {
   unsigned mStatus = 200;
   http_headers mHeaders;
   std::string mBody;
+  answer_transfer mTransfer = answer_transfer::whole;
 };
 
 http_response JsonResponse(unsigned aStatus, base::json const& aBody);
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -239,9 +240,25 @@
   asio::awaitable<bool> WriteAnswer(beast::tcp_stream& aStream, http_response aResponse,
                                     unsigned aVersion, bool aKeepAlive)
   {
+    auto const transfer = aResponse.mTransfer;
+    if (transfer == answer_transfer::none) {
+      co_return false;
+    }
     auto message = ToBeast(std::move(aResponse), aVersion, aKeepAlive);
     aStream.expires_after(mOptions.mWriteTimeout);
     boost::system::error_code failure;
+    if (transfer == answer_transfer::half) {
+      http::response_serializer<http::string_body> serializer{ message };
+      serializer.split(true);
+      co_await http::async_write_header(aStream, serializer,
+                                        asio::redirect_error(asio::use_awaitable, failure));
+      if (!failure) {
+        co_await asio::async_write(aStream,
+                                   asio::buffer(message.body().data(), message.body().size() / 2),
+                                   asio::redirect_error(asio::use_awaitable, failure));
+      }
+      co_return false;
+    }
     co_await http::async_write(aStream, message,
                                asio::redirect_error(asio::use_awaitable, failure));
     co_return !failure && aKeepAlive;
