--- a/source/platform/memory_table.cpp
+++ b/source/platform/memory_table.cpp
@@ -87,9 +87,10 @@
 {
   std::set<std::string_view> keys;
   for (auto const& write : aTransaction.mWrites) {
-    if (write.mKey.empty() || !keys.insert(write.mKey).second) {
+    auto const isNull = write.mValue && write.mValue->is_null();
+    if (write.mKey.empty() || isNull || !keys.insert(write.mKey).second) {
       return error{ result_code::invalid_argument,
-                    "a transaction writes each row once and names its key" };
+                    "a transaction writes each row once, names its key, and writes no null" };
     }
     auto const found = mRows.find(write.mKey);
     auto const revision = found == mRows.end() ? kAbsent : found->second.mRevision;
