Standin: Add the stand-in for the platform with faults on request

POST, GET and DELETE /standin/faults on the control endpoint begin, list and end faults; a component that is down closes its listener, so that clients see refused connections. Executors count what they run for each Idempotency-Key.

--- /dev/null
+++ b/source/standin/executor_server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "standin/fault.h"
+#include "standin/restartable_server.h"
+#include "standin/settings.h"
+
+#include <map>
+
+namespace rattanpond::standin {
+
+/// A simulated executor. POST on any path waits for the work that the header X-Standin-Work-Ms or
+/// the query parameter work_ms asks for and answers with its name, a line feed and the body.
+class executor_server : public fault_target
+{
+public:
+  executor_server(boost::asio::io_context& aContext, executor_settings aSettings);
+
+  /// Faults: down; slow (value: milliseconds added to the work); fail (status 500 after the work);
+  /// drain (health says draining; requests still run and are counted); truncate (half of the
+  /// answer); lose_answers (the connection closes after the work).
+  base::result<void> Begin(fault const& aFault) override;
+  base::result<void> End(fault const& aFault) override;
+  base::json State() const override;
+
+  /// Counts of what was run, per Idempotency-Key.
+  base::json Executions() const;
+  std::map<std::string, std::uint32_t> const& KeyCounts() const { return mKeyCounts; }
+
+  executor_settings const& Settings() const { return mSettings; }
+  restartable_server& Server() { return mServer; }
+
+private:
+  boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest);
+  boost::asio::awaitable<net::http_response> Execute(net::http_request aRequest);
+  void CountStart(net::http_request const& aRequest);
+
+  struct faults;
+
+  struct mode
+  {
+    base::milliseconds mDelay{ 0 };
+    bool mFails = false;
+    bool mIsDraining = false;
+    net::answer_transfer mTransfer = net::answer_transfer::whole;
+  };
+
+  executor_settings mSettings;
+  restartable_server mServer;
+  mode mMode;
+  std::map<std::string, std::uint32_t> mKeyCounts;
+  std::uint64_t mUncountedKeys = 0;
+  std::uint64_t mTotal = 0;
+  std::uint64_t mWhileDraining = 0;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mPeakRunning = 0;
+};
+
+} // namespace rattanpond::standin
