--- /dev/null
+++ b/source/scheduling/gang_coordinator.cpp
@@ -0,0 +1,182 @@
+#include "scheduling/gang_coordinator.h"
+
+#include <algorithm>
+
+namespace rattanpond::scheduling {
+
+namespace {
+
+// Answers to older rounds would not extend a lease.
+constexpr std::size_t kRememberedRounds = 8;
+
+bool MayHoldLease(member_state aState)
+{
+  return aState == member_state::waiting || aState == member_state::starting ||
+         aState == member_state::running || aState == member_state::checkpointing ||
+         aState == member_state::checkpointed || aState == member_state::finished;
+}
+
+} // namespace
+
+gang_coordinator::gang_coordinator(options aOptions, base::time_point aNow)
+  : mOptions{ std::move(aOptions) }
+  , mCreated{ aNow }
+  , mNextRound{ aNow }
+  , mIsFormed{ mOptions.mOrigin == gang_origin::adopted }
+{
+  for (auto const& worker : mOptions.mWorkers) {
+    mMembers.push_back({ .mWorker = worker, .mHeard = {} });
+  }
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::Beat(gang_beat const& aBeat,
+                                                            base::time_point aNow)
+{
+  auto* const sender = Find(aBeat.mWorker);
+  if (sender == nullptr) {
+    return {};
+  }
+  sender->mBeat = aBeat.mBeat;
+  sender->mState = aBeat.mState;
+  auto const answered = std::ranges::find(mRounds, aBeat.mRound, &round::mNumber);
+  if (answered != mRounds.end()) {
+    sender->mRound = aBeat.mRound;
+    sender->mHeard = std::max(sender->mHeard.value_or(answered->mBegan), answered->mBegan);
+  }
+  if (mBreak) {
+    return IsOver(aBeat.mState) ? std::vector<order>{}
+                                : std::vector<order>{ { aBeat.mWorker, *mBreak } };
+  }
+  auto orders = CheckStates(*sender, aBeat.mReason, aNow);
+  if (!mBreak && !mRounds.empty() && mGrantedRound != mRounds.back().mNumber &&
+      std::ranges::all_of(mMembers, [&](member const& aMember) {
+        return aMember.mRound == mRounds.back().mNumber;
+      })) {
+    mGrantedRound = mRounds.back().mNumber;
+    orders = Grants(aNow);
+  }
+  return orders;
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::CheckStates(member const& aMember,
+                                                                   std::string const& aReason,
+                                                                   base::time_point aNow)
+{
+  auto const all = [&](auto const& aPredicate) {
+    return std::ranges::all_of(mMembers, aPredicate, &member::mState);
+  };
+  auto const state = aMember.mState;
+  auto const isLostFromGang =
+    mIsFormed && (state == member_state::unknown || state == member_state::gate_closed);
+  if (state == member_state::stopping || state == member_state::failed ||
+      state == member_state::stopped || isLostFromGang) {
+    return Break(break_cause::broken,
+                 "member " + aMember.mWorker + " is " + std::string{ base::Name(state) } +
+                   (aReason.empty() ? "" : ": " + aReason),
+                 aNow);
+  }
+  if (all([](member_state aState) { return aState == member_state::finished; })) {
+    return Break(break_cause::finished, "all members finished", aNow);
+  }
+  if (all([](member_state aState) {
+        return aState == member_state::finished || aState == member_state::checkpointed;
+      })) {
+    return Break(break_cause::preempted, "all members have their checkpoints", aNow);
+  }
+  return {};
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::Tick(base::time_point aNow)
+{
+  if (!mBreak && mIsFormed && aNow - OldestHeard() > mOptions.mTimings.mLease) {
+    auto const& lost = *std::ranges::min_element(mMembers, {}, &member::mHeard);
+    return Break(break_cause::broken, "member " + lost.mWorker + " is not heard", aNow);
+  }
+  if (!mBreak && !mIsFormed && aNow - mCreated > mOptions.mTimings.mFormLimit) {
+    return Break(break_cause::broken, "the gang did not form in time", aNow);
+  }
+  if (aNow < mNextRound) {
+    return {};
+  }
+  auto const period = mIsFormed ? mOptions.mTimings.mBeat : mOptions.mTimings.mFormingBeat;
+  mNextRound = aNow + period;
+  if (mBreak) {
+    return BreakOrders();
+  }
+  auto const number = mRounds.empty() ? mOptions.mFirstRound : mRounds.back().mNumber + 1;
+  mRounds.push_back({ .mNumber = number, .mBegan = aNow });
+  if (mRounds.size() > kRememberedRounds) {
+    mRounds.pop_front();
+  }
+  return Grants(aNow);
+}
+
+bool gang_coordinator::IsDone(base::time_point aNow) const
+{
+  if (!mBreak) {
+    return false;
+  }
+  // After this time every lease has ended, whether or not the member heard of the break.
+  return aNow - mBrokenAt > mOptions.mTimings.mLease + mOptions.mTimings.mStopGrace ||
+         std::ranges::all_of(mMembers, IsOver, &member::mState);
+}
+
+gang_coordinator::member* gang_coordinator::Find(std::string const& aWorker)
+{
+  auto const found = std::ranges::find(mMembers, aWorker, &member::mWorker);
+  return found == mMembers.end() ? nullptr : &*found;
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::Break(break_cause aCause,
+                                                             std::string aReason,
+                                                             base::time_point aNow)
+{
+  mBreak = gang_break{ .mGang = mOptions.mGang, .mCause = aCause, .mReason = std::move(aReason) };
+  mBrokenAt = aNow;
+  mNextRound = aNow + mOptions.mTimings.mBeat;
+  return BreakOrders();
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::BreakOrders() const
+{
+  std::vector<order> orders;
+  for (auto const& each : mMembers) {
+    orders.push_back({ each.mWorker, *mBreak });
+  }
+  return orders;
+}
+
+std::vector<gang_coordinator::order> gang_coordinator::Grants(base::time_point aNow)
+{
+  auto const lease = Lease(aNow);
+  mIsFormed = mIsFormed || lease.count() > 0;
+  std::vector<order> orders;
+  for (auto const& each : mMembers) {
+    orders.push_back({ each.mWorker, gang_grant{ .mGang = mOptions.mGang,
+                                                 .mRound = mRounds.back().mNumber,
+                                                 .mBeat = each.mBeat,
+                                                 .mLease = lease } });
+  }
+  return orders;
+}
+
+base::milliseconds gang_coordinator::Lease(base::time_point aNow) const
+{
+  if (!std::ranges::all_of(mMembers, [](member const& aMember) {
+        return aMember.mHeard && MayHoldLease(aMember.mState);
+      })) {
+    return base::milliseconds{ 0 };
+  }
+  return std::max(base::milliseconds{ 0 }, OldestHeard() + mOptions.mTimings.mLease - aNow);
+}
+
+base::time_point gang_coordinator::OldestHeard() const
+{
+  auto oldest = base::time_point::max();
+  for (auto const& each : mMembers) {
+    oldest = std::min(oldest, each.mHeard.value_or(mCreated));
+  }
+  return oldest;
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/gang_member.cpp
@@ -0,0 +1,364 @@
+#include "scheduling/gang_member.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanpond::scheduling {
+
+namespace {
+
+// Grants that echo older beats would give leases that have ended.
+constexpr std::size_t kRememberedBeats = 16;
+
+// A runner that refuses a start three times does not take it within a lease.
+constexpr std::uint32_t kStartTries = 3;
+
+} // namespace
+
+gang_member::gang_member(options aOptions, base::time_point aNow)
+  : mOptions{ std::move(aOptions) }
+  , mTasks(mOptions.mTasks)
+  , mCheckpoints(mOptions.mTasks)
+  , mNextBeatNumber{ mOptions.mFirstBeat }
+  , mCreated{ aNow }
+  , mNextBeat{ aNow }
+  , mLeaseEnd{ aNow }
+{
+}
+
+gang_member gang_member::Adopt(options aOptions, std::vector<platform::task_phase> const& aPhases,
+                               base::time_point aNow)
+{
+  gang_member adopted{ std::move(aOptions), aNow };
+  adopted.mState = member_state::running;
+  adopted.mLeaseEnd = aNow + adopted.mOptions.mTimings.mLease;
+  adopted.mNextRenew = aNow;
+  for (auto& each : adopted.mTasks) {
+    adopted.Set(each, task_state::running, aNow - base::milliseconds{ 1 });
+  }
+  assert(aPhases.size() == adopted.mTasks.size());
+  for (std::uint32_t index = 0; index < aPhases.size(); ++index) {
+    adopted.Observed(index, aPhases[index], aNow, aNow);
+  }
+  return adopted;
+}
+
+gang_beat gang_member::NextBeat(base::time_point aNow)
+{
+  auto const& timings = mOptions.mTimings;
+  mNextBeat = aNow + (mIsGranted ? timings.mBeat : timings.mFormingBeat);
+  mSentBeats.push_back({ .mNumber = mNextBeatNumber, .mSent = aNow });
+  if (mSentBeats.size() > kRememberedBeats) {
+    mSentBeats.pop_front();
+  }
+  auto state = mState;
+  if (state == member_state::checkpointing && mStopMode == stop_mode::alone) {
+    state = member_state::stopping;
+  }
+  return { .mGang = mOptions.mGang,
+           .mWorker = mOptions.mWorker,
+           .mBeat = mNextBeatNumber++,
+           .mRound = mRound,
+           .mState = state,
+           .mReason = mReason };
+}
+
+gang_member::actions gang_member::Grant(gang_grant const& aGrant, gate aGate, base::time_point aNow)
+{
+  mRound = aGrant.mRound;
+  auto const echoed = std::ranges::find(mSentBeats, aGrant.mBeat, &sent_beat::mNumber);
+  if (aGrant.mLease.count() <= 0 || echoed == mSentBeats.end() || mIsBroken) {
+    return {};
+  }
+  auto const end = echoed->mSent + aGrant.mLease;
+  if (end <= aNow) {
+    return {};
+  }
+  mLeaseEnd = std::max(mLeaseEnd, end);
+  mIsGranted = true;
+  if (!HasNotStarted()) {
+    return {};
+  }
+  if (aGate == gate::closed) {
+    return StopTasks(member_order::stop, "the start gate is closed", aNow);
+  }
+  return StartTasks(aNow);
+}
+
+gang_member::actions gang_member::Break(gang_break const& aBreak, base::time_point aNow)
+{
+  mIsBroken = true;
+  if (IsOver(mState) || mState == member_state::stopping) {
+    return {};
+  }
+  if (mState == member_state::checkpointed || aBreak.mCause == break_cause::preempted) {
+    return StopTasks(member_order::stop, aBreak.mReason, aNow);
+  }
+  return BeginCheckpoint(stop_mode::alone, aNow + mOptions.mTimings.mStopGrace, aBreak.mReason,
+                         aNow);
+}
+
+gang_member::actions gang_member::Preempt(base::milliseconds aNotice, std::string aReason,
+                                          base::time_point aNow)
+{
+  return BeginCheckpoint(stop_mode::with_gang, aNow + aNotice, std::move(aReason), aNow);
+}
+
+gang_member::actions gang_member::Stop(std::string aReason, base::time_point aNow)
+{
+  if (IsOver(mState) || mState == member_state::stopping) {
+    return {};
+  }
+  return StopTasks(member_order::stop, std::move(aReason), aNow);
+}
+
+gang_member::actions gang_member::Tick(gate aGate, base::time_point aNow)
+{
+  auto const& timings = mOptions.mTimings;
+  if (IsOver(mState)) {
+    // Without grants nobody is left to say that the gang has ended.
+    mIsBroken = mIsBroken || aNow >= mLeaseEnd + timings.mStopGrace;
+    return {};
+  }
+  if (HasNotStarted()) {
+    mState = aGate == gate::open ? member_state::waiting : member_state::gate_closed;
+    if (aNow >= mCreated + timings.mFormLimit + timings.mLease) {
+      return StopTasks(member_order::stop, "the gang did not form in time", aNow);
+    }
+    return {};
+  }
+  if (mState == member_state::stopping) {
+    return aNow >= mNextForce ? StopTasks(member_order::force_stop, mReason, aNow) : actions{};
+  }
+  if (mState == member_state::checkpointing && aNow >= mStopDeadline) {
+    return StopTasks(member_order::stop, mReason, aNow);
+  }
+  if (mState == member_state::checkpointed && (aNow >= mStopDeadline || aNow >= mLeaseEnd)) {
+    return StopTasks(member_order::stop, mReason, aNow);
+  }
+  auto const stopsAlone = mState == member_state::checkpointing && mStopMode == stop_mode::alone;
+  if (aNow >= mLeaseEnd && !stopsAlone) {
+    return BeginCheckpoint(stop_mode::alone, mLeaseEnd + timings.mStopGrace, "the gang lease ended",
+                           aNow);
+  }
+  return Renew(aNow);
+}
+
+gang_member::actions gang_member::Started(std::uint32_t aTask,
+                                          base::reply<base::done> const& aReply,
+                                          base::time_point aNow)
+{
+  auto& started = mTasks.at(aTask);
+  if (started.mState != task_state::starting) {
+    return {};
+  }
+  if (base::Succeeded(aReply)) {
+    Set(started, task_state::running, aNow);
+    if (mState == member_state::starting && std::ranges::none_of(mTasks, [](task const& aEach) {
+          return aEach.mState == task_state::starting;
+        })) {
+      mState = member_state::running;
+    }
+    return {};
+  }
+  if (mState == member_state::starting && ++started.mStartTries < kStartTries) {
+    return { { member_order::start, aTask, TaskLease(aNow) } };
+  }
+  // The call may have taken effect although its answer says otherwise; the next list tells.
+  Set(started, task_state::running, aNow);
+  return mState == member_state::stopping
+           ? actions{}
+           : StopTasks(member_order::force_stop,
+                       "the runner did not start a task: " + base::Error(aReply).mMessage, aNow);
+}
+
+gang_member::actions gang_member::Checkpointed(std::uint32_t aTask,
+                                               base::reply<std::string> const& aReply,
+                                               base::time_point aNow)
+{
+  mTasks.at(aTask).mIsCheckpointing = false;
+  if (base::Succeeded(aReply)) {
+    mCheckpoints.at(aTask) = std::get<0>(aReply);
+  }
+  return CheckpointsTaken(aNow);
+}
+
+gang_member::actions gang_member::Observed(std::uint32_t aTask,
+                                           std::optional<platform::task_phase> aPhase,
+                                           base::time_point aAskedAt, base::time_point aNow)
+{
+  auto& seen = mTasks.at(aTask);
+  // The list may be older than the last change that this agent knows of.
+  if (seen.mState != task_state::running || aAskedAt <= seen.mChanged) {
+    return {};
+  }
+  if (aPhase == platform::task_phase::finished) {
+    Set(seen, task_state::finished, aNow);
+    return TaskEnded("", aNow);
+  }
+  if (aPhase == platform::task_phase::failed) {
+    Set(seen, task_state::failed, aNow);
+    return TaskEnded("a task failed", aNow);
+  }
+  if (!aPhase || aPhase == platform::task_phase::stopped) {
+    Set(seen, task_state::stopped, aNow);
+    return TaskEnded("the runner stopped a task", aNow);
+  }
+  return {};
+}
+
+void gang_member::Set(task& aTask, task_state aState, base::time_point aNow)
+{
+  aTask.mState = aState;
+  aTask.mChanged = aNow;
+}
+
+gang_member::actions gang_member::StartTasks(base::time_point aNow)
+{
+  mState = member_state::starting;
+  mNextRenew = aNow + mOptions.mTimings.mRenewPeriod;
+  for (auto& each : mTasks) {
+    Set(each, task_state::starting, aNow);
+  }
+  actions ordered;
+  for (std::uint32_t index = 0; index < mTasks.size(); ++index) {
+    ordered.push_back({ member_order::start, index, TaskLease(aNow) });
+  }
+  return ordered;
+}
+
+gang_member::actions gang_member::BeginCheckpoint(stop_mode aMode, base::time_point aDeadline,
+                                                  std::string aReason, base::time_point aNow)
+{
+  if (IsOver(mState) || mState == member_state::stopping) {
+    return {};
+  }
+  if (HasNotStarted() || mState == member_state::starting) {
+    return StopTasks(member_order::stop, std::move(aReason), aNow);
+  }
+  auto const wasAsked =
+    mState == member_state::checkpointing || mState == member_state::checkpointed;
+  mStopDeadline = wasAsked ? std::min(mStopDeadline, aDeadline) : aDeadline;
+  mStopMode = wasAsked && mStopMode == stop_mode::alone ? stop_mode::alone : aMode;
+  mReason = wasAsked ? mReason : std::move(aReason);
+  if (wasAsked) {
+    return CheckpointsTaken(aNow);
+  }
+  mState = member_state::checkpointing;
+  actions ordered;
+  for (std::uint32_t index = 0; index < mTasks.size(); ++index) {
+    if (mTasks[index].mState == task_state::running) {
+      mTasks[index].mIsCheckpointing = true;
+      ordered.push_back({ .mOrder = member_order::checkpoint, .mTask = index });
+    }
+  }
+  return ordered;
+}
+
+gang_member::actions gang_member::StopTasks(member_order aOrder, std::string aReason,
+                                            base::time_point aNow)
+{
+  mReason = std::move(aReason);
+  mState = member_state::stopping;
+  mNextForce = aNow + mOptions.mTimings.mForcePeriod;
+  for (auto& each : mTasks) {
+    if (each.mState == task_state::absent) {
+      Set(each, task_state::stopped, aNow);
+    }
+  }
+  auto ordered = ForTasks(aOrder);
+  Settle();
+  return ordered;
+}
+
+gang_member::actions gang_member::TaskEnded(std::string const& aReason, base::time_point aNow)
+{
+  Settle();
+  if (IsOver(mState)) {
+    mReason = mReason.empty() ? aReason : mReason;
+    return {};
+  }
+  if (aReason.empty()) {
+    return CheckpointsTaken(aNow);
+  }
+  return BeginCheckpoint(stop_mode::alone, aNow + mOptions.mTimings.mStopGrace, aReason, aNow);
+}
+
+gang_member::actions gang_member::CheckpointsTaken(base::time_point aNow)
+{
+  auto const isPending = std::ranges::any_of(mTasks, [](task const& aTask) {
+    return aTask.mState == task_state::running && aTask.mIsCheckpointing;
+  });
+  auto const isAsked =
+    mState == member_state::checkpointing || mState == member_state::checkpointed;
+  if (!isAsked || isPending) {
+    return {};
+  }
+  if (mStopMode == stop_mode::alone) {
+    return StopTasks(member_order::stop, mReason, aNow);
+  }
+  mState = member_state::checkpointed;
+  mNextBeat = aNow;
+  return {};
+}
+
+gang_member::actions gang_member::Renew(base::time_point aNow)
+{
+  if (!mIsGranted || aNow < mNextRenew) {
+    return {};
+  }
+  mNextRenew = aNow + mOptions.mTimings.mRenewPeriod;
+  auto ordered = ForTasks(member_order::renew, TaskLease(aNow));
+  std::erase_if(ordered, [&](member_action const& aAction) {
+    return mTasks[aAction.mTask].mState != task_state::running;
+  });
+  return ordered;
+}
+
+gang_member::actions gang_member::ForTasks(member_order aOrder, base::milliseconds aLease) const
+{
+  actions ordered;
+  for (std::uint32_t index = 0; index < mTasks.size(); ++index) {
+    auto const state = mTasks[index].mState;
+    if (state == task_state::running || state == task_state::starting) {
+      // A stop that overtakes a start must fence it off.
+      auto const overtakes = state == task_state::starting && aOrder == member_order::stop;
+      ordered.push_back({ overtakes ? member_order::force_stop : aOrder, index, aLease });
+    }
+  }
+  return ordered;
+}
+
+void gang_member::Settle()
+{
+  auto const count = [&](task_state aState) {
+    return std::ranges::count(mTasks, aState, &task::mState);
+  };
+  if (count(task_state::running) + count(task_state::starting) + count(task_state::absent) > 0) {
+    return;
+  }
+  if (count(task_state::failed) > 0) {
+    mState = member_state::failed;
+  } else {
+    mState = count(task_state::stopped) > 0 ? member_state::stopped : member_state::finished;
+  }
+  mNextBeat = base::time_point::min();
+}
+
+bool gang_member::HasNotStarted() const
+{
+  return mState == member_state::waiting || mState == member_state::gate_closed;
+}
+
+base::milliseconds gang_member::TaskLease(base::time_point aNow) const
+{
+  auto const& timings = mOptions.mTimings;
+  if (mOptions.mIsWholeGang) {
+    return timings.mTaskLease;
+  }
+  // The runner ends the tasks of a dead or paused agent together with the rest of the gang.
+  auto const left = mLeaseEnd + timings.mStopGrace - aNow;
+  return std::clamp(left, base::milliseconds{ 100 }, timings.mTaskLease);
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/job_api.cpp
@@ -0,0 +1,348 @@
+#include "scheduling/scheduler_service.h"
+
+#include "base/logging.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+// The HTTP interface of jobs and the notices between entries that it needs.
+
+// NOTE: GCC 12 inlines the allocation of a coroutine's frame but not its release, and then reports
+// the pair as mismatched (GCC bug 109224).
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace rattanpond::scheduling {
+
+namespace asio = boost::asio;
+using base::result_code;
+using net::http_response;
+
+namespace {
+
+constexpr base::milliseconds kPassPeriod{ 500 };
+constexpr base::milliseconds kPassPoll{ 20 };
+constexpr base::milliseconds kPassLimit{ 60'000 };
+constexpr base::milliseconds kCancelPassLimit{ 2000 };
+
+// A gang is reserved and committed within the limits of gang_record, 2 s each.
+constexpr base::milliseconds kDirectLimit{ 4500 };
+
+http_response JobResponse(unsigned aStatus, job const& aJob)
+{
+  return net::JsonResponse(aStatus, base::Encode(aJob));
+}
+
+http_response NoSuchJob(std::string const& aId)
+{
+  return net::ErrorResponse(
+    { .mCode = result_code::not_found, .mMessage = "there is no job " + aId });
+}
+
+asio::awaitable<void> Wait(asio::io_context& aContext, base::milliseconds aTime)
+{
+  asio::steady_timer timer{ aContext, aTime };
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+void scheduler_service::Register(net::http_router& aRouter)
+{
+  aRouter.Add("POST", "/v1/jobs",
+              [this](net::routed_request aRequest) { return HandleSubmit(std::move(aRequest)); });
+  aRouter.Add("GET", "/v1/jobs",
+              [this](net::routed_request aRequest) { return HandleList(std::move(aRequest)); });
+  aRouter.Add("GET", "/v1/jobs/{id}",
+              [this](net::routed_request aRequest) { return HandleRead(std::move(aRequest)); });
+  aRouter.Add("DELETE", "/v1/jobs/{id}",
+              [this](net::routed_request aRequest) { return HandleCancel(std::move(aRequest)); });
+}
+
+void scheduler_service::Register(base::state_dump& aDump)
+{
+  aDump.Register("scheduler", [this] {
+    auto gangs = base::json::array();
+    for (auto const& [id, known] : mBook.Entries()) {
+      if (known.mGang) {
+        auto const& gang = *known.mGang;
+        gangs.push_back({ { "job", id },
+                          { "attempt", known.mJob.mAttempt },
+                          { "phase", base::Name(gang.Phase()) },
+                          { "roster", base::Encode(gang.Description().mRoster) } });
+      }
+    }
+    return base::json{ { "role", base::Name(mRole.State()) },
+                       { "term", base::Encode(mRole.Term()) },
+                       { "highest_term", base::Encode(mRole.HighestTerm()) },
+                       { "recovered", mIsRecovered },
+                       { "jobs", mBook.Entries().size() },
+                       { "rows_to_write", mStore.PendingUpdates() },
+                       { "gangs", std::move(gangs) } };
+  });
+}
+
+base::result<void> scheduler_service::CheckCaller(std::string_view aAuthorization,
+                                                  std::string const& aWorkspace) const
+{
+  auto const snapshot = mOptions.mSnapshot();
+  if (!snapshot) {
+    return base::Fail(result_code::not_synchronized, "the configuration is not loaded yet");
+  }
+  auto const found = snapshot->mContracts.find(aWorkspace);
+  if (found == snapshot->mContracts.end()) {
+    // Only operators see that a workspace does not exist, or jobs of one that was removed.
+    return mAccess.CheckOperator(aAuthorization);
+  }
+  return mAccess.CheckCaller(aAuthorization, found->second);
+}
+
+base::result<job> scheduler_service::ParseSubmission(net::routed_request const& aRequest) const
+{
+  auto const& headers = aRequest.mRequest.mHeaders;
+  auto const key = std::string{ headers.Value("Idempotency-Key") };
+  if (key.empty()) {
+    return base::Fail(result_code::missing_idempotency_key,
+                      "a job needs the header Idempotency-Key");
+  }
+  BOOST_LEAF_AUTO(specification, base::DecodeText<job_specification>(
+                                   aRequest.mRequest.mBody, result_code::invalid_argument));
+  BOOST_LEAF_CHECK(CheckCaller(headers.Value("Authorization"), specification.mWorkspace));
+  if (!mOptions.mSnapshot()->mContracts.contains(specification.mWorkspace)) {
+    return base::Fail(result_code::unknown_workspace,
+                      "there is no contract for workspace " + specification.mWorkspace);
+  }
+  if (specification.mRegion.empty()) {
+    specification.mRegion = mOptions.mRegion;
+  }
+  job submitted;
+  submitted.mId = job_store::JobId(specification.mWorkspace, key);
+  submitted.mKey = key;
+  submitted.mSpecification = std::move(specification);
+  submitted.mSubmittedWallMilliseconds = base::WallMilliseconds();
+  submitted.mHistory.push_back({ .mWallMilliseconds = submitted.mSubmittedWallMilliseconds,
+                                 .mState = job_state::queued,
+                                 .mReason = "submitted" });
+  return submitted;
+}
+
+asio::awaitable<http_response> scheduler_service::HandleSubmit(net::routed_request aRequest)
+{
+  auto const parsed = base::Capture([&] { return ParseSubmission(aRequest); });
+  if (!base::Succeeded(parsed)) {
+    co_return net::ErrorResponse(base::Error(parsed));
+  }
+  auto const submitted = std::get<0>(parsed);
+  auto const created = co_await mStore.Create(submitted);
+  if (!base::Succeeded(created)) {
+    auto const& failure = base::Error(created);
+    if (failure.mCode == result_code::store_unavailable && mRole.Holds() && IsOwn(submitted)) {
+      co_return co_await SubmitWithoutStore(submitted);
+    }
+    if (failure.mCode == result_code::store_unavailable) {
+      co_return net::ErrorResponse(
+        { .mCode = failure.mCode, .mMessage = "not accepted: the store is unavailable" });
+    }
+    co_return net::ErrorResponse(failure);
+  }
+  auto const& accepted = std::get<0>(created);
+  mMetrics.Counter("scheduling_jobs_submitted").Add();
+  if (mRole.Holds() && IsOwn(accepted)) {
+    mBook.Put(accepted, base::Now());
+    Flush();
+  } else if (!IsFinal(accepted.mState)) {
+    PassInBackground(net::EncodeFrame(job_submit{ accepted }), accepted.mId);
+  }
+  co_return JobResponse(201, accepted);
+}
+
+asio::awaitable<http_response> scheduler_service::SubmitWithoutStore(job aJob)
+{
+  auto const living = mAlive;
+  auto const deadline = base::Now() + kDirectLimit;
+  if (auto const* const known = mBook.Find(aJob.mId)) {
+    if (known->mJob.mSpecification != aJob.mSpecification) {
+      co_return net::ErrorResponse(
+        { .mCode = result_code::key_reused,
+          .mMessage = "the key was used for a job with another specification" });
+    }
+    if (!known->mIsTentative) {
+      co_return JobResponse(201, known->mJob);
+    }
+  }
+  mBook.PutTentative(aJob, base::Now());
+  if (MayPlace(base::Now())) {
+    Decide(base::Now());
+  }
+  while (true) {
+    auto const* const known = mBook.Find(aJob.mId);
+    if (known != nullptr &&
+        (!known->mIsTentative || (known->mGang && known->mGang->IsCommitted()))) {
+      mBook.Confirm(aJob.mId);
+      auto const accepted = known->mJob;
+      Flush();
+      co_return JobResponse(201, accepted);
+    }
+    if (known == nullptr || !known->mGang || base::Now() >= deadline) {
+      break;
+    }
+    co_await Wait(mContext, kPassPoll);
+    if (!*living) {
+      co_return net::ErrorResponse(
+        { .mCode = result_code::shutting_down, .mMessage = "not accepted" });
+    }
+  }
+  mBook.Withdraw(aJob.mId, base::Now());
+  Flush();
+  co_return net::ErrorResponse(
+    { .mCode = result_code::store_unavailable,
+      .mMessage = "not accepted: the store is unavailable and the job cannot start at once" });
+}
+
+asio::awaitable<base::reply<job>> scheduler_service::ReadJob(std::string aId)
+{
+  if (mRole.Holds() && mBook.Find(aId) != nullptr) {
+    co_return mBook.Find(aId)->mJob;
+  }
+  auto const read = co_await mStore.Read(aId);
+  if (!base::Succeeded(read)) {
+    co_return base::Error(read);
+  }
+  auto const& found = std::get<0>(read);
+  if (!found) {
+    co_return base::error{ result_code::not_found, "there is no job " + aId };
+  }
+  co_return *found;
+}
+
+asio::awaitable<http_response> scheduler_service::HandleRead(net::routed_request aRequest)
+{
+  auto const found = co_await ReadJob(aRequest.mPath["id"]);
+  if (!base::Succeeded(found)) {
+    co_return net::ErrorResponse(base::Error(found));
+  }
+  auto const& read = std::get<0>(found);
+  auto const admitted = base::Capture([&] {
+    return CheckCaller(aRequest.mRequest.mHeaders.Value("Authorization"),
+                       read.mSpecification.mWorkspace);
+  });
+  if (!base::Succeeded(admitted)) {
+    co_return net::ErrorResponse(base::Error(admitted));
+  }
+  co_return JobResponse(200, read);
+}
+
+asio::awaitable<http_response> scheduler_service::HandleList(net::routed_request aRequest)
+{
+  auto const workspace = aRequest.mQuery["workspace"];
+  auto const authorization = std::string{ aRequest.mRequest.mHeaders.Value("Authorization") };
+  auto const admitted = base::Capture([&] {
+    return workspace.empty() ? mAccess.CheckOperator(authorization)
+                             : CheckCaller(authorization, workspace);
+  });
+  if (!base::Succeeded(admitted)) {
+    co_return net::ErrorResponse(base::Error(admitted));
+  }
+  auto const rows = co_await mStore.ReadAll();
+  if (!base::Succeeded(rows) && !mRole.Holds()) {
+    co_return net::ErrorResponse(base::Error(rows));
+  }
+  std::map<std::string, job> jobs;
+  if (base::Succeeded(rows)) {
+    for (auto const& each : std::get<0>(rows)) {
+      jobs[each.mId] = each;
+    }
+  }
+  if (mRole.Holds()) {
+    for (auto const& [id, known] : mBook.Entries()) {
+      jobs[id] = known.mJob;
+    }
+  }
+  auto document = base::json::array();
+  for (auto const& [id, each] : jobs) {
+    if (workspace.empty() || each.mSpecification.mWorkspace == workspace) {
+      document.push_back(base::Encode(each));
+    }
+  }
+  co_return net::JsonResponse(200, { { "jobs", std::move(document) } });
+}
+
+asio::awaitable<http_response> scheduler_service::HandleCancel(net::routed_request aRequest)
+{
+  auto const id = aRequest.mPath["id"];
+  auto const authorization = std::string{ aRequest.mRequest.mHeaders.Value("Authorization") };
+  auto const found = co_await ReadJob(id);
+  auto const isKnown = base::Succeeded(found);
+  if (!isKnown && base::Error(found).mCode == result_code::not_found) {
+    co_return NoSuchJob(id);
+  }
+  // Without the store this entry does not know whose job it is; the scheduler checks the workspace
+  // that the caller names.
+  auto const workspace =
+    isKnown ? std::get<0>(found).mSpecification.mWorkspace : aRequest.mQuery["workspace"];
+  auto const admitted = base::Capture([&] { return CheckCaller(authorization, workspace); });
+  if (!base::Succeeded(admitted)) {
+    co_return net::ErrorResponse(base::Error(admitted));
+  }
+  auto const isHeld = mRole.Holds() && mBook.Cancel(id, base::Now());
+  // The gang stops at once; the row follows.
+  Flush();
+  auto const written = co_await mStore.Cancel(id);
+  if (base::Succeeded(written)) {
+    if (!isHeld) {
+      PassInBackground(net::EncodeFrame(job_cancel{ id, workspace }), id);
+    }
+    co_return JobResponse(200, std::get<0>(written));
+  }
+  if (isHeld) {
+    auto const* const known = mBook.Find(id);
+    co_return known != nullptr ? JobResponse(202, known->mJob) : NoSuchJob(id);
+  }
+  auto const isPassed =
+    co_await Pass(net::EncodeFrame(job_cancel{ id, workspace }), id, kCancelPassLimit);
+  if (isPassed) {
+    co_return net::JsonResponse(202, { { "id", id }, { "state", "cancelled" } });
+  }
+  co_return net::ErrorResponse(base::Error(written));
+}
+
+asio::awaitable<bool> scheduler_service::Pass(base::bytes aFrame, std::string aJob,
+                                              base::milliseconds aLimit)
+{
+  auto const living = mAlive;
+  auto const deadline = base::Now() + aLimit;
+  auto nextSend = base::Now();
+  mReplies.insert_or_assign(aJob, result_code::timed_out);
+  while (base::Now() < deadline) {
+    if (base::Now() >= nextSend) {
+      for (auto const& link : mEntries.OpenLinks()) {
+        link->SendBytes(aFrame);
+      }
+      nextSend = base::Now() + kPassPeriod;
+    }
+    co_await Wait(mContext, kPassPoll);
+    if (!*living) {
+      co_return false;
+    }
+    auto const reply = mReplies.find(aJob);
+    if (reply == mReplies.end() || reply->second == result_code::ok) {
+      mReplies.erase(aJob);
+      co_return true;
+    }
+    if (mRole.Holds()) {
+      // This entry has read all rows, or reads them now.
+      break;
+    }
+  }
+  mReplies.erase(aJob);
+  co_return false;
+}
+
+asio::awaitable<void> scheduler_service::KeepPassing(base::bytes aFrame, std::string aJob,
+                                                     alive aAlive)
+{
+  auto const isPassed = co_await Pass(std::move(aFrame), aJob, kPassLimit);
+  if (*aAlive && !isPassed && !mRole.Holds()) {
+    base::Log("scheduling")->warn("No scheduler has taken note of job {}.", aJob);
+  }
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/job_book.cpp
@@ -0,0 +1,493 @@
+#include "scheduling/job_book.h"
+
+#include "base/time.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanpond::scheduling {
+
+namespace {
+
+// A job that is preempted again and again keeps its latest events.
+constexpr std::size_t kHistoryEvents = 64;
+
+std::string_view StopReason(placement::stop_reason aReason)
+{
+  switch (aReason) {
+    case placement::stop_reason::reclaim:
+      return "preempted: reclaimed by the owner of the guarantee";
+    case placement::stop_reason::domain_out:
+      return "preempted: the failure domain leaves service";
+    case placement::stop_reason::defragment:
+      return "preempted: moved to free a larger shape";
+    case placement::stop_reason::worker_lost:
+      return "preempted: a worker is lost";
+    case placement::stop_reason::urgent:
+      return "preempted: urgent work";
+  }
+  return "preempted";
+}
+
+std::string_view EndReason(gang_end aEnd)
+{
+  switch (aEnd) {
+    case gang_end::not_placed:
+      return "not placed";
+    case gang_end::lost:
+      return "lost";
+    case gang_end::failed:
+      return "failed";
+    default:
+      return "stopped";
+  }
+}
+
+} // namespace
+
+job_book::job_book(options aOptions)
+  : mOptions{ aOptions }
+{
+}
+
+void job_book::Put(job const& aJob, base::time_point aNow)
+{
+  auto const [found, isNew] = mEntries.try_emplace(aJob.mId);
+  auto& known = found->second;
+  mChanges.mIsDecisionDue = true;
+  if (isNew) {
+    known.mJob = aJob;
+    auto const age =
+      std::max<std::int64_t>(0, base::WallMilliseconds() - aJob.mSubmittedWallMilliseconds);
+    known.mSubmitted = aNow - base::milliseconds{ age };
+    known.mWaitingSince = known.mSubmitted;
+    return;
+  }
+  if (IsFinal(known.mJob.mState)) {
+    return;
+  }
+  if (IsFinal(aJob.mState)) {
+    known.mJob = aJob;
+    if (known.mGang) {
+      Collect(known, known.mGang->Stop(std::string{ kCancelled } + ": the job has ended", aNow));
+      Refresh(known, aNow);
+    }
+    return;
+  }
+  known.mJob.mAttempt = std::max(known.mJob.mAttempt, aJob.mAttempt);
+  if (known.mIsFromAgents) {
+    known.mIsFromAgents = false;
+    auto& history = known.mJob.mHistory;
+    history.insert(history.begin(), aJob.mHistory.begin(), aJob.mHistory.end());
+  }
+}
+
+void job_book::PutTentative(job const& aJob, base::time_point aNow)
+{
+  auto const isNew = !mEntries.contains(aJob.mId);
+  Put(aJob, aNow);
+  if (isNew) {
+    mEntries.at(aJob.mId).mIsTentative = true;
+  }
+}
+
+void job_book::Confirm(std::string const& aJob)
+{
+  if (auto const found = mEntries.find(aJob); found != mEntries.end()) {
+    found->second.mIsTentative = false;
+    mChanges.mDirty.insert(aJob);
+  }
+}
+
+void job_book::Withdraw(std::string const& aJob, base::time_point aNow)
+{
+  auto const found = mEntries.find(aJob);
+  if (found == mEntries.end() || !found->second.mIsTentative) {
+    return;
+  }
+  if (found->second.mGang) {
+    Collect(found->second,
+            found->second.mGang->Stop(std::string{ kCancelled } + ": not accepted", aNow));
+  }
+  mEntries.erase(found);
+}
+
+bool job_book::Cancel(std::string const& aJob, base::time_point aNow)
+{
+  auto const found = mEntries.find(aJob);
+  if (found == mEntries.end()) {
+    return false;
+  }
+  auto& known = found->second;
+  if (IsFinal(known.mJob.mState)) {
+    return true;
+  }
+  SetState(known, job_state::cancelled, "cancelled by the caller");
+  if (known.mGang) {
+    Collect(known, known.mGang->Stop(std::string{ kCancelled } + " by the caller", aNow));
+    Refresh(known, aNow);
+  }
+  return true;
+}
+
+void job_book::EndRecovery(base::time_point aNow)
+{
+  for (auto& [id, known] : mEntries) {
+    auto const state = known.mJob.mState;
+    if (!known.mGang && !IsFinal(state) && state != job_state::parked &&
+        state != job_state::queued) {
+      Requeue(known, "no agent reports the gang", aNow);
+    }
+  }
+}
+
+void job_book::Replied(reserve_reply const& aReply, base::time_point aNow)
+{
+  auto const found = mEntries.find(aReply.mGang.mJob);
+  if (found == mEntries.end() || !found->second.mGang ||
+      found->second.mGang->Description().Id() != aReply.mGang) {
+    return;
+  }
+  Collect(found->second, found->second.mGang->Replied(aReply, aNow));
+  Refresh(found->second, aNow);
+}
+
+void job_book::Reported(task_report const& aReport, base::time_point aNow)
+{
+  std::set<gang_id> present;
+  for (auto const& part : aReport.mGangs) {
+    if (part.mGang.Find(aReport.mWorker) != nullptr) {
+      present.insert(part.mGang.Id());
+      ReportedPart(aReport.mWorker, part, aNow);
+    }
+  }
+  for (auto& [id, known] : mEntries) {
+    if (known.mGang && !present.contains(known.mGang->Description().Id())) {
+      Collect(known, known.mGang->Missing(aReport.mWorker, aNow));
+      Refresh(known, aNow);
+    }
+  }
+}
+
+void job_book::ReportedPart(std::string const& aWorker, part_report const& aPart,
+                            base::time_point aNow)
+{
+  auto const gang = aPart.mGang.Id();
+  auto const isOver = IsOver(aPart.mState);
+  if (!mEntries.contains(gang.mJob)) {
+    if (isOver && aPart.mReason.starts_with(kCancelled)) {
+      return;
+    }
+    // The row may not be written yet; the agents hold the whole job.
+    Put(aPart.mGang.mJob, aNow);
+    mEntries.at(gang.mJob).mIsFromAgents = true;
+    mChanges.mDirty.insert(gang.mJob);
+  }
+  auto& known = mEntries.at(gang.mJob);
+  auto const current = known.mGang ? known.mGang->Description().mJob.mAttempt : 0;
+  if (known.mGang && current == gang.mAttempt &&
+      known.mGang->Description().mRoster == aPart.mGang.mRoster) {
+    Collect(known, known.mGang->Reported(aWorker, aPart, aNow));
+    Refresh(known, aNow);
+    return;
+  }
+  if (IsFinal(known.mJob.mState) || gang.mAttempt < current ||
+      (known.mGang && gang.mAttempt == current) || IsOutdated(known, aPart)) {
+    if (!isOver) {
+      StopPart(aWorker, gang,
+               known.mJob.mState == job_state::cancelled
+                 ? std::string{ kCancelled }
+                 : std::string{ "another attempt of the job is kept" });
+    }
+    return;
+  }
+  AdoptGang(known, aPart.mGang, aNow);
+  Collect(known, known.mGang->Reported(aWorker, aPart, aNow));
+  Refresh(known, aNow);
+}
+
+bool job_book::IsOutdated(entry const& aEntry, part_report const& aPart) const
+{
+  auto const attempt = aPart.mGang.mJob.mAttempt;
+  if (attempt <= aEntry.mEndedAttempt || attempt < aEntry.mJob.mAttempt) {
+    return true;
+  }
+  // An earlier scheduler has seen this end already and has put the job back.
+  return !aEntry.mGang && attempt == aEntry.mJob.mAttempt && IsOver(aPart.mState) &&
+         aPart.mState != member_state::finished &&
+         (aEntry.mJob.mState == job_state::queued || aEntry.mJob.mState == job_state::parked);
+}
+
+void job_book::AdoptGang(entry& aEntry, gang_description const& aGang, base::time_point aNow)
+{
+  if (aEntry.mGang) {
+    // Two schedulers placed the job; the higher attempt is kept.
+    for (auto const& member : aEntry.mGang->Description().mRoster) {
+      StopPart(member.mWorker, aEntry.mGang->Description().Id(),
+               "another attempt of the job is kept");
+    }
+    aEntry.mEndedAttempt = aEntry.mGang->Description().mJob.mAttempt;
+  }
+  aEntry.mGang.emplace(gang_record::Adopt(aGang, mOptions.mTimings, aNow));
+  aEntry.mJob.mAttempt = aGang.mJob.mAttempt;
+  SetState(aEntry, job_state::starting, "adopted from the agents");
+}
+
+void job_book::StopPart(std::string const& aWorker, gang_id const& aGang, std::string aReason)
+{
+  mChanges.mOutgoing.push_back(
+    { .mAction = { .mOrder = gang_order::stop, .mWorker = aWorker, .mReason = std::move(aReason) },
+      .mGang = aGang,
+      .mDescription = {} });
+}
+
+void job_book::WorkerLeft(std::string const& aWorker, base::time_point aNow)
+{
+  mChanges.mIsDecisionDue = true;
+  for (auto& [id, known] : mEntries) {
+    if (known.mGang) {
+      known.mGang->WorkerLeft(aWorker, aNow);
+    }
+  }
+}
+
+void job_book::WorkerJoined(std::string const& aWorker)
+{
+  mChanges.mIsDecisionDue = true;
+  for (auto& [id, known] : mEntries) {
+    if (known.mGang) {
+      known.mGang->WorkerJoined(aWorker);
+    }
+  }
+}
+
+void job_book::Apply(placement::decisions const& aDecisions, address_of const& aAddressOf,
+                     base::time_point aNow)
+{
+  for (auto const& stop : aDecisions.mStops) {
+    auto const found = mEntries.find(stop.mJob);
+    if (found != mEntries.end() && found->second.mGang && !found->second.mGang->IsStopping()) {
+      auto& known = found->second;
+      Collect(known,
+              known.mGang->Preempt(stop.mNotice, std::string{ StopReason(stop.mReason) }, aNow));
+      Refresh(known, aNow);
+    }
+  }
+  for (auto const& start : aDecisions.mStarts) {
+    Start(start, aAddressOf, aNow);
+  }
+  for (auto const& park : aDecisions.mParks) {
+    auto const found = mEntries.find(park.mJob);
+    if (found != mEntries.end() && !found->second.mGang &&
+        found->second.mJob.mState == job_state::queued) {
+      SetState(found->second, job_state::parked, park.mReason);
+    }
+  }
+}
+
+void job_book::Start(placement::start_gang const& aStart, address_of const& aAddressOf,
+                     base::time_point aNow)
+{
+  auto const found = mEntries.find(aStart.mJob);
+  if (found == mEntries.end() || found->second.mGang || IsFinal(found->second.mJob.mState)) {
+    return;
+  }
+  auto& known = found->second;
+  gang_description gang;
+  std::uint32_t rank = 0;
+  for (auto const& part : aStart.mParts) {
+    auto address = aAddressOf(part.mWorker);
+    if (address.empty() || part.mTasks == 0) {
+      return;
+    }
+    gang.mRoster.push_back({ .mWorker = part.mWorker,
+                             .mControlAddress = std::move(address),
+                             .mFirstRank = rank,
+                             .mTasks = part.mTasks });
+    rank += part.mTasks;
+  }
+  if (rank != known.mJob.mSpecification.mTasks) {
+    return;
+  }
+  ++known.mJob.mAttempt;
+  gang.mJob = known.mJob;
+  gang.mJob.mHistory.clear();
+  gang.mTenure = aStart.mTenure;
+  known.mGang.emplace(std::move(gang), mOptions.mTimings, aNow);
+  Collect(known, known.mGang->Reserve());
+}
+
+void job_book::Tick(base::time_point aNow)
+{
+  for (auto& [id, known] : mEntries) {
+    if (known.mGang) {
+      Collect(known, known.mGang->Tick(aNow));
+      Refresh(known, aNow);
+    }
+  }
+}
+
+void job_book::Fill(placement::cluster_state& aState, base::time_point aNow) const
+{
+  for (auto const& [id, known] : mEntries) {
+    auto const& specification = known.mJob.mSpecification;
+    if (known.mGang) {
+      auto running = Running(known, aNow);
+      auto const found = aState.mContracts.find(specification.mWorkspace);
+      running.mUrgency =
+        found == aState.mContracts.end() ? placement::urgency::normal : found->second.mUrgency;
+      aState.mRunning[id] = std::move(running);
+    } else if (!IsFinal(known.mJob.mState) && aNow >= known.mNotBefore) {
+      auto const found = aState.mContracts.find(specification.mWorkspace);
+      auto const left = specification.mDeclaredRunTime - known.mJob.mCheckpointedWork;
+      aState.mWaiting[id] = { .mJob = id,
+                              .mWorkspace = specification.mWorkspace,
+                              .mUrgency = found == aState.mContracts.end()
+                                            ? placement::urgency::normal
+                                            : found->second.mUrgency,
+                              .mShape = specification.Shape(),
+                              .mDeclaredLeft = std::max(base::milliseconds{ 0 }, left),
+                              .mSubmitted = known.mSubmitted,
+                              .mWaitingSince = known.mWaitingSince };
+    }
+  }
+}
+
+placement::running_gang job_book::Running(entry const& aEntry, base::time_point aNow) const
+{
+  auto const& gang = *aEntry.mGang;
+  auto const& specification = aEntry.mJob.mSpecification;
+  auto const elapsed = aNow - gang.Started();
+  auto const left = specification.mDeclaredRunTime - aEntry.mJob.mCheckpointedWork - elapsed;
+  placement::running_gang running{ .mJob = aEntry.mJob.mId,
+                                   .mWorkspace = specification.mWorkspace,
+                                   .mShape = specification.Shape(),
+                                   .mParts = {},
+                                   .mTenure = gang.Description().mTenure,
+                                   .mStarted = gang.Started(),
+                                   .mLastCheckpoint = gang.Started(),
+                                   .mDeclaredLeft = std::max(base::milliseconds{ 0 }, left),
+                                   .mIsStopping = gang.IsStopping(),
+                                   .mStopsBy = gang.StopsBy() };
+  for (auto const& member : gang.Description().mRoster) {
+    running.mParts.push_back({ .mWorker = member.mWorker, .mTasks = member.mTasks });
+  }
+  return running;
+}
+
+job_book::changes job_book::Take()
+{
+  return std::exchange(mChanges, {});
+}
+
+job_book::entry const* job_book::Find(std::string const& aJob) const
+{
+  auto const found = mEntries.find(aJob);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+void job_book::Clear()
+{
+  mEntries.clear();
+  mChanges = {};
+}
+
+void job_book::Collect(entry const& aEntry, gang_record::actions aActions)
+{
+  if (aActions.empty()) {
+    return;
+  }
+  std::shared_ptr<gang_description const> description;
+  auto const gang = aEntry.mGang->Description().Id();
+  for (auto& action : aActions) {
+    if (action.mOrder == gang_order::reserve && !description) {
+      description = std::make_shared<gang_description const>(aEntry.mGang->Description());
+    }
+    mChanges.mOutgoing.push_back(
+      { .mAction = std::move(action), .mGang = gang, .mDescription = description });
+  }
+}
+
+void job_book::Refresh(entry& aEntry, base::time_point aNow)
+{
+  auto& gang = aEntry.mGang;
+  if (!gang) {
+    return;
+  }
+  if (gang->IsOver()) {
+    EndGang(aEntry, aNow);
+    return;
+  }
+  if (gang->Phase() == gang_phase::preempting) {
+    SetState(aEntry, job_state::checkpointing, gang->Reason());
+  } else if (gang->Phase() == gang_phase::live && gang->IsRunning()) {
+    SetState(aEntry, job_state::running, "");
+  } else if (gang->Phase() == gang_phase::committing) {
+    // A refused reservation leaves no trace in the row: it is tried again within a second.
+    SetState(aEntry, job_state::starting, "");
+  }
+}
+
+void job_book::EndGang(entry& aEntry, base::time_point aNow)
+{
+  auto const gang = *aEntry.mGang;
+  mChanges.mIsDecisionDue = true;
+  if (gang.End() != gang_end::not_placed) {
+    mChanges.mEnded.push_back(
+      { .mGang = Running(aEntry, aNow), .mEnd = gang.End(), .mFailedWorker = gang.FailedWorker() });
+    if (auto checkpoint = gang.WholeCheckpoint(); !checkpoint.empty()) {
+      aEntry.mJob.mCheckpoints = std::move(checkpoint);
+      aEntry.mJob.mCheckpointedWork = gang.CheckpointedWork();
+    }
+  }
+  aEntry.mEndedAttempt = gang.Description().mJob.mAttempt;
+  aEntry.mGang.reset();
+  if (IsFinal(aEntry.mJob.mState)) {
+    return;
+  }
+  if (gang.End() == gang_end::finished) {
+    SetState(aEntry, job_state::finished, "");
+    return;
+  }
+  if (gang.End() == gang_end::failed) {
+    ++aEntry.mFailures;
+    aEntry.mFailedWorkers.insert(gang.FailedWorker());
+    if (aEntry.mFailedWorkers.size() >= mOptions.mFailedWorkers ||
+        aEntry.mFailures >= mOptions.mFailures) {
+      SetState(aEntry, job_state::failed,
+               "failed " + std::to_string(aEntry.mFailures) + " times, last on " +
+                 gang.FailedWorker() + ": " + gang.Reason());
+      return;
+    }
+  }
+  Requeue(aEntry, std::string{ EndReason(gang.End()) } + ": " + gang.Reason(), aNow);
+}
+
+void job_book::Requeue(entry& aEntry, std::string aReason, base::time_point aNow)
+{
+  if (aEntry.mJob.mState != job_state::queued) {
+    aEntry.mWaitingSince = aNow;
+  }
+  SetState(aEntry, job_state::queued, std::move(aReason));
+  aEntry.mNotBefore = aNow + mOptions.mRetryDelay;
+}
+
+void job_book::SetState(entry& aEntry, job_state aState, std::string aReason)
+{
+  auto& known = aEntry.mJob;
+  if (known.mState == aState || IsFinal(known.mState)) {
+    return;
+  }
+  known.mState = aState;
+  known.mHistory.push_back({ .mWallMilliseconds = base::WallMilliseconds(),
+                             .mState = aState,
+                             .mReason = std::move(aReason) });
+  if (known.mHistory.size() > kHistoryEvents) {
+    known.mHistory.erase(known.mHistory.begin());
+  }
+  if (!aEntry.mIsTentative) {
+    mChanges.mDirty.insert(known.mId);
+  }
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/member_state.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "base/enum_names.h"
+
+namespace rattanpond::scheduling {
+
+/// State of the tasks of a gang on one worker, as its agent sees them.
+enum class member_state
+{
+  /// The agent does not know the gang.
+  unknown,
+  /// Committed; the start gate is closed.
+  gate_closed,
+  /// Committed; waits for the first grant.
+  waiting,
+  starting,
+  running,
+  /// Preempted; runs until every member has its checkpoint.
+  checkpointing,
+  checkpointed,
+  /// Ends, whatever the other members do.
+  stopping,
+  finished,
+  /// A task failed by itself.
+  failed,
+  stopped
+};
+
+/// No task of the member can run any more.
+constexpr bool IsOver(member_state aState)
+{
+  return aState == member_state::finished || aState == member_state::failed ||
+         aState == member_state::stopped;
+}
+
+/// Why a coordinator ends a gang.
+enum class break_cause
+{
+  finished,
+  preempted,
+  broken
+};
+
+} // namespace rattanpond::scheduling
+
+namespace rattanpond::base {
+
+template<>
+struct enum_names<scheduling::member_state>
+{
+  using type = scheduling::member_state;
+  static constexpr enum_name<type> kTable[] = {
+    { type::unknown, "unknown" },           { type::gate_closed, "gate_closed" },
+    { type::waiting, "waiting" },           { type::starting, "starting" },
+    { type::running, "running" },           { type::checkpointing, "checkpointing" },
+    { type::checkpointed, "checkpointed" }, { type::stopping, "stopping" },
+    { type::finished, "finished" },         { type::failed, "failed" },
+    { type::stopped, "stopped" },
+  };
+};
+
+template<>
+struct enum_names<scheduling::break_cause>
+{
+  using type = scheduling::break_cause;
+  static constexpr enum_name<type> kTable[] = { { type::finished, "finished" },
+                                                { type::preempted, "preempted" },
+                                                { type::broken, "broken" } };
+};
+
+} // namespace rattanpond::base
--- /dev/null
+++ b/source/scheduling/reservation_ledger.cpp
@@ -0,0 +1,154 @@
+#include "scheduling/reservation_ledger.h"
+
+#include <algorithm>
+
+namespace rattanpond::scheduling {
+
+using base::result_code;
+
+namespace {
+
+// A worker ends a few hundred gangs a day at most; copies of messages live for seconds.
+constexpr std::size_t kRememberedJobs = 1024;
+
+} // namespace
+
+reservation_ledger::reservation_ledger(placement::task_shape aCapacity)
+  : mCapacity{ aCapacity }
+{
+}
+
+bool reservation_ledger::Admit(term const& aTerm)
+{
+  if (aTerm < mHighestTerm) {
+    return false;
+  }
+  mHighestTerm = aTerm;
+  return true;
+}
+
+result_code reservation_ledger::Reserve(term const& aTerm, gang_id const& aGang,
+                                        placement::task_shape const& aNeed,
+                                        base::milliseconds aExpiry, base::time_point aNow)
+{
+  if (!Admit(aTerm)) {
+    return result_code::stale_term;
+  }
+  Expire(aNow);
+  if (mEntries.contains(aGang)) {
+    return result_code::ok;
+  }
+  if (IsRefused(aGang)) {
+    return result_code::attempt_refused;
+  }
+  auto const used = Used();
+  auto const fits = [](auto aUsed, auto aNeeded, auto aCapacity) {
+    return aUsed <= aCapacity && aNeeded <= aCapacity - aUsed;
+  };
+  if (!fits(used.mAccelerators, aNeed.mAccelerators, mCapacity.mAccelerators) ||
+      !fits(used.mCores, aNeed.mCores, mCapacity.mCores) ||
+      !fits(used.mMemoryMebibytes, aNeed.mMemoryMebibytes, mCapacity.mMemoryMebibytes)) {
+    return result_code::accelerators_taken;
+  }
+  mEntries[aGang] = { .mNeed = aNeed, .mExpires = aNow + aExpiry };
+  return result_code::ok;
+}
+
+result_code reservation_ledger::Commit(term const& aTerm, gang_id const& aGang,
+                                       base::time_point aNow)
+{
+  if (!Admit(aTerm)) {
+    return result_code::stale_term;
+  }
+  Expire(aNow);
+  auto const found = mEntries.find(aGang);
+  if (found == mEntries.end()) {
+    return result_code::reservation_expired;
+  }
+  found->second.mExpires.reset();
+  return result_code::ok;
+}
+
+result_code reservation_ledger::Release(term const& aTerm, gang_id const& aGang)
+{
+  if (!Admit(aTerm)) {
+    return result_code::stale_term;
+  }
+  auto const found = mEntries.find(aGang);
+  if (found != mEntries.end() && found->second.mExpires) {
+    mEntries.erase(found);
+    Remember(aGang);
+  }
+  return result_code::ok;
+}
+
+void reservation_ledger::Adopt(gang_id const& aGang, placement::task_shape const& aNeed)
+{
+  mEntries[aGang] = { .mNeed = aNeed, .mExpires = {} };
+}
+
+void reservation_ledger::Free(gang_id const& aGang)
+{
+  if (mEntries.erase(aGang) > 0) {
+    Remember(aGang);
+  }
+}
+
+std::vector<gang_id> reservation_ledger::Expire(base::time_point aNow)
+{
+  std::vector<gang_id> expired;
+  for (auto const& [gang, reserved] : mEntries) {
+    if (reserved.mExpires && *reserved.mExpires <= aNow) {
+      expired.push_back(gang);
+    }
+  }
+  for (auto const& gang : expired) {
+    mEntries.erase(gang);
+    Remember(gang);
+  }
+  return expired;
+}
+
+bool reservation_ledger::IsCommitted(gang_id const& aGang) const
+{
+  auto const found = mEntries.find(aGang);
+  return found != mEntries.end() && !found->second.mExpires;
+}
+
+placement::task_shape reservation_ledger::Used() const
+{
+  placement::task_shape used;
+  for (auto const& [gang, taken] : mEntries) {
+    used.mAccelerators += taken.mNeed.mAccelerators;
+    used.mCores += taken.mNeed.mCores;
+    used.mMemoryMebibytes += taken.mNeed.mMemoryMebibytes;
+  }
+  return used;
+}
+
+bool reservation_ledger::IsRefused(gang_id const& aGang) const
+{
+  auto const ended = mEnded.find(aGang.mJob);
+  if (ended != mEnded.end() && ended->second >= aGang.mAttempt) {
+    return true;
+  }
+  return std::ranges::any_of(mEntries, [&](auto const& aEntry) {
+    return aEntry.first.mJob == aGang.mJob && aEntry.first.mAttempt >= aGang.mAttempt;
+  });
+}
+
+void reservation_ledger::Remember(gang_id const& aGang)
+{
+  auto const [found, isNew] = mEnded.try_emplace(aGang.mJob, aGang.mAttempt);
+  found->second = std::max(found->second, aGang.mAttempt);
+  if (!isNew) {
+    return;
+  }
+  mEndedOrder.push_back(aGang.mJob);
+  if (mEndedOrder.size() > kRememberedJobs) {
+    mEnded.erase(mEndedOrder.front());
+    mEndedOrder.pop_front();
+  }
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/scheduler_service.cpp
@@ -0,0 +1,465 @@
+#include "scheduling/scheduler_service.h"
+
+#include "base/identifiers.h"
+#include "base/logging.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rattanpond::scheduling {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds kTickPeriod{ 50 };
+constexpr base::milliseconds kAnnouncePeriod{ 1000 };
+constexpr base::milliseconds kRolePeriod{ 1000 };
+constexpr base::milliseconds kRoleCommitLimit{ 2000 };
+
+// Finds submissions and cancellations whose notices were all lost.
+constexpr base::milliseconds kReloadPeriod{ 60'000 };
+constexpr base::milliseconds kReloadRetry{ 2000 };
+
+// Gangs may refer to a worker for this long after it left.
+constexpr base::milliseconds kDepartedRetention{ 60'000 };
+
+placement::gang_outcome Outcome(gang_end aEnd)
+{
+  switch (aEnd) {
+    case gang_end::finished:
+      return placement::gang_outcome::finished;
+    case gang_end::failed:
+      return placement::gang_outcome::failed;
+    case gang_end::lost:
+      return placement::gang_outcome::lost;
+    default:
+      return placement::gang_outcome::stopped;
+  }
+}
+
+scheduler_role::options RoleOptions(scheduler_role::options aOptions, std::string const& aSelf)
+{
+  aOptions.mSelf = aSelf;
+  return aOptions;
+}
+
+} // namespace
+
+scheduler_service::scheduler_service(asio::io_context& aContext, platform::table_service& aTable,
+                                     membership::target_registry& aTargets,
+                                     membership::entry_links& aEntries, placement::policy& aPolicy,
+                                     configuration::access_control const& aAccess,
+                                     base::metrics_registry& aMetrics, options aOptions)
+  : mContext{ aContext }
+  , mTable{ aTable }
+  , mTargets{ aTargets }
+  , mEntries{ aEntries }
+  , mPolicy{ aPolicy }
+  , mAccess{ aAccess }
+  , mMetrics{ aMetrics }
+  , mOptions{ std::move(aOptions) }
+  , mRole{ RoleOptions(mOptions.mRole, mOptions.mSelf), base::Now() }
+  , mBook{ mOptions.mBook }
+  , mStore{ aContext, aTable,
+            [this](job const& aJob) {
+              mBook.Put(aJob, base::Now());
+              Flush();
+            } }
+  , mTimer{ aContext }
+{
+}
+
+scheduler_service::~scheduler_service()
+{
+  *mAlive = false;
+}
+
+void scheduler_service::Register(net::frame_dispatcher& aDispatcher)
+{
+  aDispatcher.On<reserve_reply>([this](net::link_ptr const&, reserve_reply const& aMessage) {
+    mRole.TermSeen(aMessage.mHighestTerm, base::Now());
+    mBook.Replied(aMessage, base::Now());
+    Flush();
+  });
+  aDispatcher.On<task_report>([this](net::link_ptr const& aLink, task_report const& aMessage) {
+    auto const* const target = mTargets.FindByLink(aLink);
+    // The report must be that of the worker whose link it came over.
+    if (target == nullptr || target->mDescription.mTarget != aMessage.mWorker) {
+      return;
+    }
+    mReports[aMessage.mWorker] = aMessage;
+    if (mRole.Holds() && mIsRecovered) {
+      mBook.Reported(aMessage, base::Now());
+      Flush();
+    }
+  });
+  aDispatcher.On<term_notice>([this](net::link_ptr const&, term_notice const& aMessage) {
+    if (aMessage.mRegion == mOptions.mRegion) {
+      mRole.HolderHeard(aMessage.mTerm, base::Now());
+      RoleChanged(base::Now());
+    }
+  });
+  aDispatcher.On<job_submit>([this](net::link_ptr const& aLink, job_submit const& aMessage) {
+    if (mRole.Holds() && IsOwn(aMessage.mJob)) {
+      mBook.Put(aMessage.mJob, base::Now());
+      aLink->Send(job_reply{ .mJob = aMessage.mJob.mId });
+      Flush();
+    }
+  });
+  aDispatcher.On<job_cancel>([this](net::link_ptr const& aLink, job_cancel const& aMessage) {
+    auto const* const known = mBook.Find(aMessage.mJob);
+    auto const isOwner =
+      known != nullptr &&
+      (aMessage.mWorkspace.empty() || aMessage.mWorkspace == known->mJob.mSpecification.mWorkspace);
+    if (mRole.Holds() && isOwner && mBook.Cancel(aMessage.mJob, base::Now())) {
+      aLink->Send(job_reply{ .mJob = aMessage.mJob });
+      Flush();
+    }
+  });
+  aDispatcher.On<job_reply>([this](net::link_ptr const&, job_reply const& aMessage) {
+    if (auto const found = mReplies.find(aMessage.mJob); found != mReplies.end()) {
+      found->second = aMessage.mCode;
+    }
+  });
+}
+
+void scheduler_service::Start()
+{
+  mTargets.Observe(
+    [this](membership::target_change aChange, membership::known_target const& aTarget) {
+      WorkerChanged(aChange, aTarget);
+    });
+  for (auto const& [name, target] : mTargets.Targets()) {
+    WorkerChanged(membership::target_change::joined, target);
+  }
+  co_spawn(mContext, ContestRole(mAlive), asio::detached);
+  Tick();
+}
+
+asio::awaitable<void> scheduler_service::ResignRole()
+{
+  auto const write = mRole.Resign();
+  RoleChanged(base::Now());
+  if (!write) {
+    co_return;
+  }
+  platform::table_transaction transaction{ .mAttempt = base::RandomIdentifier(), .mWrites = {} };
+  transaction.mWrites.push_back({ .mKey = "scheduler/" + mOptions.mRegion,
+                                  .mValue = base::Encode(write->mRow),
+                                  .mExpectedRevision = write->mExpectedRevision });
+  co_await platform::Commit(mTable, std::move(transaction), kRoleCommitLimit);
+}
+
+void scheduler_service::Tick()
+{
+  auto const now = base::Now();
+  mRole.Tick(now);
+  RoleChanged(now);
+  std::erase_if(mDeparted,
+                [&](auto const& aEntry) { return now - aEntry.second.mLeft > kDepartedRetention; });
+  if (mRole.Holds()) {
+    TickHolder(now);
+  }
+  mTimer.expires_after(kTickPeriod);
+  mTimer.async_wait([this, living = mAlive](boost::system::error_code aFailure) {
+    if (!aFailure && *living) {
+      Tick();
+    }
+  });
+}
+
+void scheduler_service::TickHolder(base::time_point aNow)
+{
+  mBook.Tick(aNow);
+  if (aNow >= mNextAnnounce) {
+    mNextAnnounce = aNow + kAnnouncePeriod;
+    Announce();
+  }
+  if (aNow >= mNextReload && !mIsLoading) {
+    mIsLoading = true;
+    co_spawn(mContext, LoadJobs(mAlive), asio::detached);
+  }
+  if (!mIsRecovered && MayPlace(aNow)) {
+    Recover(aNow);
+  }
+  Flush();
+  if (MayPlace(aNow) && (mIsDecisionDue || aNow >= mNextDecision)) {
+    Decide(aNow);
+  }
+}
+
+void scheduler_service::Recover(base::time_point aNow)
+{
+  mIsRecovered = true;
+  // Reports are taken in after the rows, which know more about each job.
+  for (auto const& [worker, report] : mReports) {
+    mBook.Reported(report, aNow);
+  }
+  mBook.EndRecovery(aNow);
+  base::Log("scheduling")->info("Scheduling {} jobs.", mBook.Entries().size());
+}
+
+bool scheduler_service::MayPlace(base::time_point aNow) const
+{
+  return mRole.Holds() && aNow >= mRole.Since() + mOptions.mRecoveryTime &&
+         (mIsLoaded || mLoadFailed) && mOptions.mSnapshot() != nullptr;
+}
+
+void scheduler_service::Decide(base::time_point aNow)
+{
+  mNextDecision = aNow + mOptions.mDecisionPeriod;
+  mIsDecisionDue = false;
+  auto const state = State(aNow);
+  auto const began = std::chrono::steady_clock::now();
+  auto const decided = mPolicy.Decide(state, aNow);
+  std::chrono::duration<double> const taken = std::chrono::steady_clock::now() - began;
+  mMetrics.Histogram("scheduling_decision_seconds").Record(taken.count());
+  mMetrics.Gauge("scheduling_jobs_waiting").Set(static_cast<double>(state.mWaiting.size()));
+  mMetrics.Gauge("scheduling_gangs_running").Set(static_cast<double>(state.mRunning.size()));
+  mBook.Apply(
+    decided,
+    [this](std::string const& aWorker) {
+      auto const* const found = mTargets.Find(aWorker);
+      return found == nullptr ? std::string{} : found->mDescription.mControlAddress;
+    },
+    aNow);
+  Flush();
+}
+
+placement::cluster_state scheduler_service::State(base::time_point aNow) const
+{
+  placement::cluster_state state;
+  auto const snapshot = mOptions.mSnapshot();
+  for (auto const& [name, departed] : mDeparted) {
+    auto lost = Worker(departed.mDescription, *snapshot);
+    lost.mAvailability = placement::worker_availability::lost;
+    state.mWorkers[name] = std::move(lost);
+  }
+  for (auto const& [name, target] : mTargets.Targets()) {
+    auto const& description = target.mDescription;
+    if (description.mKind == membership::target_kind::worker &&
+        description.mRegion == mOptions.mRegion) {
+      state.mWorkers[name] = Worker(description, *snapshot);
+    }
+  }
+  state.mContracts = snapshot->mContracts;
+  mBook.Fill(state, aNow);
+  return state;
+}
+
+placement::worker scheduler_service::Worker(
+  membership::target_description const& aTarget,
+  configuration::configuration_snapshot const& aSnapshot) const
+{
+  auto const isOpen =
+    aTarget.mState == membership::target_state::serving && aSnapshot.IsInService(aTarget.mDomain);
+  return { .mName = aTarget.mTarget,
+           .mRegion = aTarget.mRegion,
+           .mDomain = aTarget.mDomain,
+           .mRack = aTarget.mRack,
+           .mKind = aTarget.mCapacity.mKind,
+           .mAccelerators = aTarget.mCapacity.mAccelerators,
+           .mCores = aTarget.mCapacity.mCores,
+           .mMemoryMebibytes = aTarget.mCapacity.mMemoryMebibytes,
+           .mAvailability = isOpen ? placement::worker_availability::available
+                                   : placement::worker_availability::closed };
+}
+
+void scheduler_service::Flush()
+{
+  auto const now = base::Now();
+  auto const taken = mBook.Take();
+  mIsDecisionDue = mIsDecisionDue || taken.mIsDecisionDue;
+  if (!mRole.Holds()) {
+    return;
+  }
+  for (auto const& outgoing : taken.mOutgoing) {
+    Send(outgoing);
+  }
+  for (auto const& id : taken.mDirty) {
+    if (auto const* const found = mBook.Find(id)) {
+      base::Log("scheduling")
+        ->info("Job {} is {} (attempt {}).", id, base::Name(found->mJob.mState),
+               found->mJob.mAttempt);
+      mStore.Update(found->mJob);
+    }
+  }
+  for (auto const& ended : taken.mEnded) {
+    mMetrics.Counter("scheduling_gangs_" + std::string{ base::Name(ended.mEnd) }).Add();
+    mPolicy.Ended(ended.mGang, Outcome(ended.mEnd), ended.mFailedWorker, now);
+  }
+}
+
+void scheduler_service::Send(job_book::outgoing const& aOutgoing)
+{
+  auto const& action = aOutgoing.mAction;
+  auto const* const target = mTargets.Find(action.mWorker);
+  if (target == nullptr || !target->mLink) {
+    return;
+  }
+  auto& link = *target->mLink;
+  auto const& held = mRole.Term();
+  switch (action.mOrder) {
+    case gang_order::reserve:
+      link.Send(reserve{ .mTerm = held, .mGang = *aOutgoing.mDescription });
+      break;
+    case gang_order::commit:
+      link.Send(commit{ .mTerm = held, .mGang = aOutgoing.mGang });
+      break;
+    case gang_order::release:
+      link.Send(release{ .mTerm = held, .mGang = aOutgoing.mGang });
+      break;
+    case gang_order::preempt:
+      link.Send(preempt{ .mTerm = held,
+                         .mGang = aOutgoing.mGang,
+                         .mNotice = action.mNotice,
+                         .mReason = action.mReason });
+      break;
+    case gang_order::stop:
+      link.Send(stop_task{ .mTerm = held, .mGang = aOutgoing.mGang, .mReason = action.mReason });
+      break;
+  }
+}
+
+void scheduler_service::WorkerChanged(membership::target_change aChange,
+                                      membership::known_target const& aTarget)
+{
+  auto const& description = aTarget.mDescription;
+  if (description.mKind != membership::target_kind::worker ||
+      description.mRegion != mOptions.mRegion) {
+    return;
+  }
+  auto const now = base::Now();
+  mIsDecisionDue = true;
+  if (aChange == membership::target_change::left) {
+    mDeparted[description.mTarget] = { .mDescription = description, .mLeft = now };
+    mReports.erase(description.mTarget);
+    mBook.WorkerLeft(description.mTarget, now);
+  } else if (aChange == membership::target_change::joined) {
+    mDeparted.erase(description.mTarget);
+    mBook.WorkerJoined(description.mTarget);
+    if (mRole.Holds()) {
+      aTarget.mLink->Send(term_notice{ .mRegion = mOptions.mRegion, .mTerm = mRole.Term() });
+    }
+  }
+}
+
+void scheduler_service::RoleChanged(base::time_point aNow)
+{
+  if (mRole.Holds() == mWasHolder) {
+    return;
+  }
+  mWasHolder = mRole.Holds();
+  mBook.Clear();
+  mStore.ForgetUpdates();
+  mIsRecovered = false;
+  mIsLoaded = false;
+  mLoadFailed = false;
+  mNextReload = aNow;
+  mNextAnnounce = aNow;
+  mMetrics.Gauge("scheduling_holds_role").Set(mWasHolder ? 1 : 0);
+  if (mWasHolder) {
+    base::Log("scheduling")
+      ->info("Took the scheduler role of region {} ({}) with term {}.{}.", mOptions.mRegion,
+             base::Name(mRole.State()), mRole.Term().mEpoch, mRole.Term().mSequence);
+  } else {
+    base::Log("scheduling")->info("Gave up the scheduler role of region {}.", mOptions.mRegion);
+  }
+}
+
+void scheduler_service::Announce()
+{
+  term_notice const notice{ .mRegion = mOptions.mRegion, .mTerm = mRole.Term() };
+  mEntries.Broadcast(notice);
+  auto const frame = net::EncodeFrame(notice);
+  for (auto const& [name, target] : mTargets.Targets()) {
+    if (target.mLink && target.mDescription.mKind == membership::target_kind::worker &&
+        target.mDescription.mRegion == mOptions.mRegion) {
+      target.mLink->SendBytes(frame);
+    }
+  }
+}
+
+void scheduler_service::PassInBackground(base::bytes aFrame, std::string aJob)
+{
+  co_spawn(mContext, KeepPassing(std::move(aFrame), std::move(aJob), mAlive), asio::detached);
+}
+
+asio::awaitable<void> scheduler_service::ContestRole(alive aAlive)
+{
+  while (*aAlive) {
+    co_await Contest();
+    if (!*aAlive) {
+      co_return;
+    }
+    RoleChanged(base::Now());
+    asio::steady_timer timer{ mContext, kRolePeriod };
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> scheduler_service::Contest()
+{
+  auto const living = mAlive;
+  auto const key = "scheduler/" + mOptions.mRegion;
+  auto const read = co_await mTable.Read(key);
+  if (!*living || !base::Succeeded(read)) {
+    co_return;
+  }
+  auto const& row = std::get<0>(read);
+  std::optional<role_row> value;
+  if (row) {
+    auto const parsed = base::Capture([&] { return base::Decode<role_row>(row->mValue); });
+    if (!base::Succeeded(parsed)) {
+      base::Log("scheduling")->error("Row {} is wrong: {}.", key, base::Error(parsed).mMessage);
+      co_return;
+    }
+    value = std::get<0>(parsed);
+  }
+  mRole.RowRead(value, row ? row->mRevision : platform::kAbsent, base::Now());
+  auto const write = mRole.DueWrite(base::Now());
+  if (!write) {
+    co_return;
+  }
+  platform::table_transaction transaction{ .mAttempt = base::RandomIdentifier(), .mWrites = {} };
+  transaction.mWrites.push_back({ .mKey = key,
+                                  .mValue = base::Encode(write->mRow),
+                                  .mExpectedRevision = write->mExpectedRevision });
+  auto const written = co_await platform::Commit(mTable, std::move(transaction), kRoleCommitLimit);
+  if (*living && base::Succeeded(written)) {
+    mRole.Wrote(*write, write->mExpectedRevision + 1, base::Now());
+  }
+}
+
+asio::awaitable<void> scheduler_service::LoadJobs(alive aAlive)
+{
+  auto const held = mRole.Term();
+  auto const jobs = co_await mStore.ReadAll();
+  if (!*aAlive) {
+    co_return;
+  }
+  auto const now = base::Now();
+  mIsLoading = false;
+  if (!mRole.Holds() || mRole.Term() != held) {
+    co_return;
+  }
+  if (!base::Succeeded(jobs)) {
+    mLoadFailed = true;
+    mNextReload = now + kReloadRetry;
+    co_return;
+  }
+  mIsLoaded = true;
+  mNextReload = now + kReloadPeriod;
+  for (auto const& each : std::get<0>(jobs)) {
+    if (IsOwn(each)) {
+      mBook.Put(each, now);
+    }
+  }
+  Flush();
+}
+
+} // namespace rattanpond::scheduling
--- /dev/null
+++ b/source/scheduling/tests/loopback_test.cpp
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE scheduling
+#include "scheduling/tests/cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanpond::scheduling {
+
+namespace {
+
+using base::milliseconds;
+
+base::json Specification(std::uint32_t aTasks, std::int64_t aWork)
+{
+  return { { "workspace", "blue" },           { "tasks", aTasks },
+           { "accelerators_per_task", 1 },    { "kind", "gpu" },
+           { "declared_run_time_ms", aWork }, { "command", { { "work_ms", aWork } } } };
+}
+
+std::string IdOf(net::http_response const& aResponse)
+{
+  return base::json::parse(aResponse.mBody)["id"].get<std::string>();
+}
+
+// A part of a gang may run without the rest for the lease and the stop grace. The second is what
+// polling the runner and a busy machine add.
+constexpr milliseconds kPartialBound{ 6000 };
+constexpr milliseconds kMeasuring{ 1000 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(loopback_test)
+
+// Guards against a gang that cannot form over real links, and against a part that runs on when the
+// agent of another part is dead.
+BOOST_AUTO_TEST_CASE(GangRunsAndRestartsAfterTheLossOfAnAgent)
+{
+  test_cluster cluster{ 1, 2 };
+  auto const submitted = cluster.Submit(0, "key-1", Specification(8, 3000));
+  BOOST_REQUIRE_EQUAL(submitted.mStatus, 201U);
+  auto const id = IdOf(submitted);
+  auto const runsEverywhere = [&] { return cluster.Running(0) == 4 && cluster.Running(1) == 4; };
+  BOOST_REQUIRE(cluster.RunUntil(runsEverywhere, milliseconds{ 20'000 }));
+  auto const finished =
+    cluster.RunUntil([&] { return cluster.JobState(id) == "finished"; }, milliseconds{ 20'000 });
+  BOOST_REQUIRE(finished);
+  BOOST_TEST(cluster.Machines()[0].mRunner->Starts() == 4U);
+  BOOST_TEST(cluster.Machines()[1].mRunner->Starts() == 4U);
+
+  auto const lost = IdOf(cluster.Submit(0, "key-2", Specification(8, 600'000)));
+  BOOST_REQUIRE(cluster.RunUntil(runsEverywhere, milliseconds{ 20'000 }));
+  cluster.Machines()[1].mAgent.reset();
+  auto const stopped = cluster.RunUntil(
+    [&] { return cluster.Running(0) == 0 && cluster.Running(1) == 0; }, milliseconds{ 30'000 });
+  BOOST_REQUIRE(stopped);
+  BOOST_TEST_MESSAGE("all parts stopped after " << stopped->count() << " ms");
+  BOOST_TEST(stopped->count() <= (kPartialBound + kMeasuring).count());
+  cluster.StartAgent(1);
+  auto const restarted = cluster.RunUntil(runsEverywhere, milliseconds{ 30'000 });
+  BOOST_REQUIRE(restarted);
+  BOOST_TEST_MESSAGE("restarted after " << restarted->count() << " ms");
+  BOOST_TEST(cluster.Ask(0, "DELETE", lost).mStatus == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Running(0) == 0 && cluster.Running(1) == 0; },
+                                 milliseconds{ 5000 }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::scheduling
