--- a/source/configuration/configuration_store.cpp
+++ b/source/configuration/configuration_store.cpp
@@ -58,7 +58,7 @@
 {
   return { result_code::version_conflict,
            "the change is based on version " + std::to_string(aBaseVersion) +
-             ", but the configuration has version " + std::to_string(aVersion) };
+             ", but the configuration has version " + std::to_string(aVersion) + " or newer" };
 }
 
 } // namespace
@@ -307,8 +307,10 @@
                                                          std::uint64_t aBaseVersion,
                                                          base::error aFailure)
 {
-  if (aFailure.mCode != result_code::condition_failed &&
-      aFailure.mCode != result_code::outcome_unknown) {
+  if (aFailure.mCode == result_code::condition_failed) {
+    co_return Conflict(aBaseVersion, std::max(Version(), aBaseVersion + 1));
+  }
+  if (aFailure.mCode != result_code::outcome_unknown) {
     co_return aFailure;
   }
   // The rows that the transaction wrote may have been overwritten since by another operator's
@@ -321,7 +323,8 @@
       if (std::ranges::find(head.mRecentAttempts, aAttempt) != head.mRecentAttempts.end()) {
         co_return done{};
       }
-      if (head.mVersion > aBaseVersion) {
+      // The transaction was conditional on the head of the base version, which is gone.
+      if (head.mVersion > aBaseVersion && head.mVersion - aBaseVersion <= kRecentAttempts) {
         co_return Conflict(aBaseVersion, head.mVersion);
       }
     }
--- a/source/configuration/configuration_store.h
+++ b/source/configuration/configuration_store.h
@@ -50,8 +50,8 @@
     base::milliseconds mCommitLimit{ 5000 };
     placement::domain_loss mDomainLoss = placement::domain_loss::survived;
     /// Without a check every guarantee is accepted.
-    guarantee_check mCheckGuarantees;
-    std::function<std::map<std::string, placement::worker>()> mWorkers;
+    guarantee_check mCheckGuarantees = {};
+    std::function<std::map<std::string, placement::worker>()> mWorkers = {};
   };
 
   using change_observer = std::function<void(snapshot_ptr const&)>;
