--- /dev/null
+++ b/source/bench/policy_replay.cpp
@@ -0,0 +1,452 @@
+#include "bench/policy_replay.h"
+
+#include "placement/resources.h"
+#include "placement/shape_packing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rattanpond::bench {
+
+namespace {
+
+using placement::gang_outcome;
+using placement::running_gang;
+using placement::worker_availability;
+
+using base::milliseconds;
+
+/// The role collects what happens for a moment before it decides again.
+constexpr milliseconds kDecisionDelay{ 50 };
+/// Without any event it decides this often while jobs wait.
+constexpr milliseconds kDecisionPeriod{ 1'000 };
+/// A gang that starts again loads its checkpoint for this long.
+constexpr milliseconds kRestart{ 20'000 };
+/// A task on the failing worker fails after this time.
+constexpr milliseconds kFailsAfter{ 8'000 };
+constexpr milliseconds kAfterReturn{ 600'000 };
+/// Fragmentation is measured while jobs arrive.
+constexpr base::time_point kArrivalsEnd{ milliseconds{ 240 * 60'000 } };
+constexpr base::time_point kGiveUp{ milliseconds{ 48 * 3'600'000LL } };
+/// A guaranteed start may take the reclaim bound and this long for noticing and committing.
+constexpr milliseconds kReclaimSlack{ 6'800 };
+constexpr std::int64_t kLargeJob = 8;
+
+double Seconds(milliseconds aTime)
+{
+  return static_cast<double>(aTime.count()) / 1000;
+}
+
+milliseconds Overlap(base::time_point aFrom, base::time_point aTo, base::time_point aBegin,
+                     base::time_point aEnd)
+{
+  return std::max(std::min(aTo, aEnd) - std::max(aFrom, aBegin), milliseconds{ 0 });
+}
+
+} // namespace
+
+policy_replay::policy_replay(policy_workload const& aWorkload, placement::policy& aPolicy)
+  : mWorkload(aWorkload)
+  , mPolicy(aPolicy)
+  , mState(aWorkload.mCluster)
+  , mProgress(aWorkload.mJobs.size())
+{
+  for (std::size_t job = 0; job < mWorkload.mJobs.size(); ++job) {
+    mIndex.emplace(mWorkload.mJobs[job].mName, job);
+    Push(mWorkload.mJobs[job].mSubmitted, event_kind::arrival, job);
+    if (mWorkload.mJobs[job].mCancelled) {
+      Push(*mWorkload.mJobs[job].mCancelled, event_kind::cancel, job);
+    }
+  }
+  if (!mWorkload.mOutDomain.empty()) {
+    Push(mWorkload.mOutAt, event_kind::domain_out);
+    Push(mWorkload.mBackAt, event_kind::domain_back);
+  }
+  for (auto const& [name, contract] : mState.mContracts) {
+    for (auto const& shape : contract.mGuarantee) {
+      if (shape.mAccelerators > mLargest.mAccelerators) {
+        mLargest = shape;
+      }
+    }
+  }
+}
+
+policy_metrics policy_replay::Run()
+{
+  while (!mEvents.empty() && mNow < kGiveUp) {
+    auto const next = mEvents.top();
+    mEvents.pop();
+    Account(next.mAt);
+    mNow = next.mAt;
+    Handle(next);
+  }
+  mMetrics.mUnfinished = mState.mWaiting.size() + mState.mRunning.size();
+  return std::move(mMetrics);
+}
+
+void policy_replay::Push(base::time_point aAt, event_kind aKind, std::size_t aJob,
+                         std::uint64_t aAttempt)
+{
+  mEvents.push({ aAt, mOrder++, aKind, aJob, aAttempt });
+}
+
+void policy_replay::Handle(event const& aEvent)
+{
+  auto const isCurrent =
+    mProgress[aEvent.mJob].mIsRunning && mProgress[aEvent.mJob].mAttempt == aEvent.mAttempt;
+  switch (aEvent.mKind) {
+    case event_kind::arrival:
+      Arrive(aEvent.mJob);
+      break;
+    case event_kind::finish:
+    case event_kind::stopped:
+    case event_kind::failed:
+      if (!isCurrent) {
+        return;
+      }
+      End(aEvent.mJob, aEvent.mKind == event_kind::finish    ? gang_outcome::finished
+                       : aEvent.mKind == event_kind::stopped ? gang_outcome::stopped
+                                                             : gang_outcome::failed);
+      break;
+    case event_kind::cancel:
+      Cancel(aEvent.mJob);
+      break;
+    case event_kind::domain_out:
+      SetDomain(worker_availability::closed);
+      break;
+    case event_kind::domain_back:
+      SetDomain(worker_availability::available);
+      break;
+    case event_kind::decide:
+      if (aEvent.mAt == mNextDecision) {
+        mNextDecision = base::time_point::max();
+        Decide();
+      }
+      return;
+  }
+  ScheduleDecision(mNow + kDecisionDelay);
+}
+
+void policy_replay::ScheduleDecision(base::time_point aAt)
+{
+  if (aAt < mNextDecision) {
+    mNextDecision = aAt;
+    Push(aAt, event_kind::decide);
+  }
+}
+
+void policy_replay::Arrive(std::size_t aJob)
+{
+  Wait(aJob);
+}
+
+void policy_replay::Wait(std::size_t aJob)
+{
+  auto const& job = mWorkload.mJobs[aJob];
+  auto const left =
+    std::max(job.mDeclared - mProgress[aJob].mSaved, milliseconds{ job.mDeclared.count() / 20 });
+  mState.mWaiting[job.mName] = { .mJob = job.mName,
+                                 .mWorkspace = job.mWorkspace,
+                                 .mUrgency = job.mUrgency,
+                                 .mShape = job.mShape,
+                                 .mDeclaredLeft = left,
+                                 .mSubmitted = job.mSubmitted,
+                                 .mWaitingSince = mNow };
+  mProgress[aJob].mEntitledSince = base::time_point::max();
+}
+
+void policy_replay::Cancel(std::size_t aJob)
+{
+  auto const& job = mWorkload.mJobs[aJob];
+  mState.mWaiting.erase(job.mName);
+  if (mProgress[aJob].mIsRunning) {
+    CountAbsenceWork(aJob, WorkDone(aJob));
+    mPolicy.Ended(mState.mRunning.at(job.mName), gang_outcome::stopped, "", mNow);
+    mState.mRunning.erase(job.mName);
+    mProgress[aJob].mIsRunning = false;
+  }
+}
+
+void policy_replay::SetDomain(worker_availability aAvailability)
+{
+  for (auto& [name, worker] : mState.mWorkers) {
+    if (worker.mDomain == mWorkload.mOutDomain) {
+      worker.mAvailability = aAvailability;
+      worker.mNotice = mWorkload.mNotice;
+    }
+  }
+  if (aAvailability == worker_availability::available) {
+    return;
+  }
+  // Whatever the policy does, nothing runs there after the notice.
+  for (auto const& [name, gang] : mState.mRunning) {
+    auto const leaves = std::any_of(gang.mParts.begin(), gang.mParts.end(), [&](auto const& aPart) {
+      return mState.mWorkers.at(aPart.mWorker).mAvailability == worker_availability::closed;
+    });
+    if (leaves) {
+      auto const job = Index(name);
+      Push(mNow + mWorkload.mNotice, event_kind::stopped, job, mProgress[job].mAttempt);
+    }
+  }
+}
+
+void policy_replay::RefreshCheckpoints()
+{
+  for (auto& [name, gang] : mState.mRunning) {
+    auto const job = Index(name);
+    auto const saved = Checkpointed(job);
+    if (saved.count() > 0) {
+      gang.mLastCheckpoint = mProgress[job].mWorksFrom + saved;
+    }
+  }
+}
+
+void policy_replay::Decide()
+{
+  RefreshCheckpoints();
+  AccountEntitlement();
+  Apply(mPolicy.Decide(mState, mNow));
+  if (!mState.mWaiting.empty()) {
+    ScheduleDecision(mNow + kDecisionPeriod);
+  }
+}
+
+void policy_replay::Apply(placement::decisions const& aDecisions)
+{
+  for (auto const& park : aDecisions.mParks) {
+    mMetrics.mParked += mState.mWaiting.erase(park.mJob);
+  }
+  for (auto const& start : aDecisions.mStarts) {
+    Start(start);
+  }
+  for (auto const& stop : aDecisions.mStops) {
+    Stop(stop.mJob, stop.mNotice);
+  }
+}
+
+void policy_replay::Start(placement::start_gang const& aStart)
+{
+  auto const job = Index(aStart.mJob);
+  auto const& traced = mWorkload.mJobs[job];
+  auto& state = mProgress[job];
+  CheckStart(aStart, traced);
+  auto const waiting = mState.mWaiting.at(aStart.mJob);
+  mState.mWaiting.erase(aStart.mJob);
+  mState.mRunning[aStart.mJob] = { .mJob = aStart.mJob,
+                                   .mWorkspace = traced.mWorkspace,
+                                   .mUrgency = traced.mUrgency,
+                                   .mShape = traced.mShape,
+                                   .mParts = aStart.mParts,
+                                   .mTenure = aStart.mTenure,
+                                   .mStarted = mNow,
+                                   .mLastCheckpoint = mNow,
+                                   .mDeclaredLeft = waiting.mDeclaredLeft };
+  if (!state.mHasStarted && traced.mUrgency == placement::urgency::urgent) {
+    mMetrics.mUrgentStarts.push_back(Seconds(mNow - traced.mSubmitted));
+  }
+  if (state.mEntitledSince != base::time_point::max()) {
+    mMetrics.mReclaims.push_back(Seconds(mNow - state.mEntitledSince));
+  }
+  state.mWorksFrom = mNow + (state.mHasStarted ? kRestart : milliseconds{ 0 });
+  state.mHasStarted = true;
+  state.mIsRunning = true;
+  ++state.mAttempt;
+  Push(state.mWorksFrom + traced.mReal - state.mSaved, event_kind::finish, job, state.mAttempt);
+  if (IsFailing(mState.mRunning.at(aStart.mJob))) {
+    Push(mNow + kFailsAfter, event_kind::failed, job, state.mAttempt);
+  }
+}
+
+bool policy_replay::IsFailing(running_gang const& aGang) const
+{
+  return mNow >= mWorkload.mFailsFrom && mNow < mWorkload.mFailsUntil &&
+         std::any_of(aGang.mParts.begin(), aGang.mParts.end(),
+                     [&](auto const& aPart) { return aPart.mWorker == mWorkload.mFailingWorker; });
+}
+
+void policy_replay::CheckStart(placement::start_gang const& aStart, trace_job const& aJob)
+{
+  std::uint32_t tasks = 0;
+  std::set<std::string> racks;
+  auto isInOutDomain = false;
+  for (auto const& part : aStart.mParts) {
+    auto const& worker = mState.mWorkers.at(part.mWorker);
+    tasks += part.mTasks;
+    racks.insert(worker.mRack);
+    isInOutDomain |= worker.mAvailability != worker_availability::available;
+    auto used = Need(aJob.mShape.mTask) * part.mTasks;
+    for (auto const& [name, gang] : mState.mRunning) {
+      for (auto const& other : gang.mParts) {
+        if (other.mWorker == part.mWorker) {
+          used += Need(gang.mShape.mTask) * other.mTasks;
+        }
+      }
+    }
+    mMetrics.mOverlaps += Capacity(worker).Covers(used) ? 0 : 1;
+  }
+  auto const level = aJob.mShape.mLevel;
+  auto const isSpread = (level == placement::adjacency::same_worker && aStart.mParts.size() > 1) ||
+                        (level == placement::adjacency::same_rack && racks.size() > 1);
+  mMetrics.mPartialGangs += tasks != aJob.mShape.mTasks || isSpread ? 1 : 0;
+  mMetrics.mStartsInOutDomain += isInOutDomain ? 1 : 0;
+}
+
+void policy_replay::Stop(std::string const& aJob, milliseconds aNotice)
+{
+  auto const found = mState.mRunning.find(aJob);
+  if (found == mState.mRunning.end()) {
+    return;
+  }
+  auto& gang = found->second;
+  auto const by = mNow + aNotice;
+  if (gang.mIsStopping && by >= gang.mStopsBy) {
+    return;
+  }
+  mMetrics.mPreemptions += gang.mIsStopping ? 0 : 1;
+  gang.mIsStopping = true;
+  gang.mStopsBy = by;
+  auto const job = Index(aJob);
+  auto const& traced = mWorkload.mJobs[job];
+  auto const ends =
+    traced.mOverstays ? by + *traced.mOverstays : mNow + std::min(aNotice, traced.mCheckpointTakes);
+  Push(ends, event_kind::stopped, job, mProgress[job].mAttempt);
+}
+
+milliseconds policy_replay::WorkDone(std::size_t aJob) const
+{
+  return std::max(mNow - mProgress[aJob].mWorksFrom, milliseconds{ 0 });
+}
+
+milliseconds policy_replay::Checkpointed(std::size_t aJob) const
+{
+  auto const every = mWorkload.mJobs[aJob].mCheckpointEvery;
+  return every * (WorkDone(aJob) / every);
+}
+
+void policy_replay::CountAbsenceWork(std::size_t aJob, milliseconds aUseful)
+{
+  auto const from = mProgress[aJob].mWorksFrom;
+  auto const time =
+    Overlap(from, from + aUseful, mWorkload.mOutAt, mWorkload.mBackAt + kAfterReturn);
+  mMetrics.mAbsenceWork +=
+    Seconds(time) * static_cast<double>(mWorkload.mJobs[aJob].Accelerators());
+}
+
+void policy_replay::End(std::size_t aJob, gang_outcome aOutcome)
+{
+  auto const& traced = mWorkload.mJobs[aJob];
+  auto& state = mProgress[aJob];
+  auto const gang = mState.mRunning.at(traced.mName);
+  mState.mRunning.erase(traced.mName);
+  state.mIsRunning = false;
+  auto useful = WorkDone(aJob);
+  auto const hasCheckpoint = aOutcome == gang_outcome::stopped && gang.mIsStopping &&
+                             !traced.mOverstays && mNow < gang.mStopsBy;
+  if (aOutcome == gang_outcome::finished) {
+    mMetrics.mFinished.push_back({ &traced, Seconds(mNow - traced.mSubmitted) });
+  } else {
+    useful = hasCheckpoint ? useful : Checkpointed(aJob);
+    state.mSaved += useful;
+  }
+  CountAbsenceWork(aJob, useful);
+  auto const isFailure = aOutcome == gang_outcome::failed;
+  mPolicy.Ended(gang, aOutcome, isFailure ? mWorkload.mFailingWorker : "", mNow);
+  if (aOutcome != gang_outcome::finished) {
+    auto const held = mNow - gang.mStarted;
+    if (!isFailure) {
+      mMetrics.mLostToPreemption +=
+        Seconds(held - useful) * static_cast<double>(traced.Accelerators());
+    }
+    Wait(aJob);
+  }
+}
+
+bool policy_replay::IsEntitled(trace_job const& aJob) const
+{
+  auto const& guarantee = mState.mContracts.at(aJob.mWorkspace).mGuarantee;
+  std::int64_t total = 0;
+  auto fits = false;
+  for (auto const& shape : guarantee) {
+    total += shape.mAccelerators;
+    fits |= aJob.Accelerators() <= shape.mAccelerators && aJob.mShape.mLevel >= shape.mLevel;
+  }
+  std::int64_t used = 0;
+  for (auto const& [name, gang] : mState.mRunning) {
+    if (gang.mWorkspace == aJob.mWorkspace) {
+      used += static_cast<std::int64_t>(gang.mShape.mTasks) * gang.mShape.mTask.mAccelerators;
+    }
+  }
+  // A shape that other gangs of the workspace have begun to use is not a whole shape any more.
+  return fits && (used == 0 || aJob.Accelerators() == 1) && used + aJob.Accelerators() <= total;
+}
+
+void policy_replay::AccountEntitlement()
+{
+  std::map<std::string, bool> isTaken;
+  for (auto const& [name, waiting] : mState.mWaiting) {
+    auto const index = Index(name);
+    auto& state = mProgress[index];
+    // One waiting job of a workspace at a time can be owed the shape.
+    auto const isOwed = !isTaken[waiting.mWorkspace] && IsEntitled(mWorkload.mJobs[index]);
+    if (!isOwed) {
+      state.mEntitledSince = base::time_point::max();
+      continue;
+    }
+    isTaken[waiting.mWorkspace] = true;
+    if (state.mEntitledSince == base::time_point::max()) {
+      state.mEntitledSince = mNow;
+    }
+    auto const bound = mState.mContracts.at(waiting.mWorkspace).mReclaimBound + kReclaimSlack;
+    if (mNow - state.mEntitledSince > bound && !state.mIsMissed) {
+      state.mIsMissed = true;
+      ++mMetrics.mGuaranteesMissed;
+    }
+  }
+}
+
+void policy_replay::Account(base::time_point aUntil)
+{
+  auto const inArrivals = Seconds(Overlap(mNow, aUntil, base::time_point{}, kArrivalsEnd));
+  auto const inAbsence =
+    mWorkload.mOutDomain.empty()
+      ? 0
+      : Seconds(Overlap(mNow, aUntil, mWorkload.mOutAt, mWorkload.mBackAt + kAfterReturn));
+  if (inArrivals <= 0 && inAbsence <= 0) {
+    return;
+  }
+  std::map<std::string, placement::resources> free;
+  for (auto const& [name, worker] : mState.mWorkers) {
+    if (worker.mAvailability == worker_availability::available) {
+      free[name] = Capacity(worker);
+      mMetrics.mAbsenceCapacity += inAbsence * worker.mAccelerators;
+    }
+  }
+  for (auto const& [name, gang] : mState.mRunning) {
+    for (auto const& part : gang.mParts) {
+      if (auto const found = free.find(part.mWorker); found != free.end()) {
+        found->second -= Need(gang.mShape.mTask) * part.mTasks;
+      }
+    }
+  }
+  std::map<std::string, std::int64_t> unitsInRack;
+  std::int64_t allFree = 0;
+  for (auto const& [name, amount] : free) {
+    auto const& worker = mState.mWorkers.at(name);
+    allFree += amount.mAccelerators;
+    unitsInRack[worker.mRack] += Copies(amount, Unit(mLargest, worker), worker.mAccelerators);
+  }
+  auto stranded = allFree;
+  for (auto const& [rack, units] : unitsInRack) {
+    stranded -= units >= mLargest.mAccelerators ? units : 0;
+  }
+  mMetrics.mFree += inArrivals * static_cast<double>(allFree);
+  mMetrics.mStranded += inArrivals * static_cast<double>(stranded);
+  for (auto const& [name, waiting] : mState.mWaiting) {
+    auto const needs = mWorkload.mJobs[Index(name)].Accelerators();
+    if (needs >= kLargeJob && needs <= allFree) {
+      mMetrics.mLargeJobsBlocked += inArrivals;
+    }
+  }
+}
+
+} // namespace rattanpond::bench
--- a/source/placement/policy.cpp
+++ b/source/placement/policy.cpp
@@ -1,5 +1,7 @@
 #include "placement/policy.h"
 
+#include "placement/best_fit_backfill.h"
+#include "placement/first_fit_fifo.h"
 #include "placement/guaranteed_policy.h"
 
 namespace rattanpond::placement {
@@ -9,6 +11,12 @@
   if (aName == "guaranteed") {
     return std::make_unique<guaranteed_policy>(aOptions);
   }
+  if (aName == "first-fit-fifo") {
+    return std::make_unique<first_fit_fifo>();
+  }
+  if (aName == "best-fit-backfill") {
+    return std::make_unique<best_fit_backfill>();
+  }
   return nullptr;
 }
 
