Configuration: Test freshness on real links

The test runs three entries and an agent on loopback through a change, a store outage, a cut-off majority and a commit that is not in force everywhere.

--- /dev/null
+++ b/source/configuration/tests/freshness_test.cpp
@@ -0,0 +1,254 @@
+#include "configuration/agent_configuration.h"
+#include "configuration/operator_service.h"
+
+#include "base/identifiers.h"
+#include "base/logging.h"
+#include "net/link_server.h"
+#include "platform/memory_table.h"
+#include "platform/tests/run.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace rattanpond::configuration {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::json;
+using base::milliseconds;
+
+membership::hello Hello(std::string aProcess, membership::process_role aRole)
+{
+  return { .mProcess = std::move(aProcess),
+           .mIncarnation = base::RandomIdentifier(),
+           .mRole = aRole,
+           .mRegion = "region",
+           .mDomain = "zone" };
+}
+
+std::vector<net::tcp::endpoint> FreeEndpoints(asio::io_context& aContext, std::size_t aCount)
+{
+  std::vector<net::tcp::acceptor> held;
+  std::vector<net::tcp::endpoint> endpoints;
+  for (std::size_t index = 0; index < aCount; ++index) {
+    held.emplace_back(aContext, net::tcp::endpoint{ asio::ip::address_v4::loopback(), 0 });
+    endpoints.push_back(held.back().local_endpoint());
+  }
+  return endpoints;
+}
+
+/// The parts of an entry that this slice needs, on real links.
+class entry_process
+{
+public:
+  entry_process(asio::io_context& aContext, platform::table_service& aTable,
+                std::vector<net::tcp::endpoint> const& aEndpoints, std::size_t aIndex)
+    : mHello{ Hello("entry-" + std::to_string(aIndex), membership::process_role::entry) }
+    , mLinks{ aContext, { .mEntries = aEndpoints, .mHello = mHello }, mDispatcher }
+    , mStore{ aContext, aTable, { .mPollPeriod = milliseconds{ 50 } } }
+    , mFreshness{ aContext,
+                  mStore,
+                  mTargets,
+                  mLinks,
+                  { .mProcess = mHello.mProcess,
+                    .mListedEntries = aEndpoints.size(),
+                    .mConfirmPeriod = milliseconds{ 25 },
+                    .mFreshnessLimit = milliseconds{ 300 },
+                    .mNotReadyAfter = milliseconds{ 300 },
+                    .mForceLimit = milliseconds{ 400 } } }
+    , mOperators{ aContext, mStore, mFreshness, mAccess }
+  {
+    mTargets.Register(mDispatcher);
+    mFreshness.Register(mDispatcher);
+    mDispatcher.On<membership::hello>(
+      [this](net::link_ptr const& aLink, membership::hello aMessage) {
+        mFreshness.HelloReceived(aLink, std::move(aMessage));
+      });
+    mOperators.Register(mRouter);
+    net::link_handlers handlers;
+    handlers.mOnFrame = [this](net::link_ptr const& aLink, net::frame const& aFrame) {
+      mDispatcher.Dispatch(aLink, aFrame);
+    };
+    handlers.mOnClose = [this](net::link_ptr const& aLink, base::error const&) {
+      std::erase(mAccepted, aLink);
+      mTargets.LinkClosed(aLink);
+    };
+    mServer = std::get<0>(base::Capture([&] {
+      return net::link_server::Create(aContext, aEndpoints[aIndex], handlers,
+                                      [this](net::link_ptr const& aLink) {
+                                        mAccepted.push_back(aLink);
+                                        aLink->Send(mHello);
+                                      });
+    }));
+    mFreshness.Start();
+    mStore.Start();
+    mLinks.Start();
+  }
+
+  /// Cuts the entry off from everybody.
+  void Stop()
+  {
+    mServer.reset();
+    for (auto const& link : mAccepted) {
+      link->Close({ base::result_code::shutting_down, "cut" });
+    }
+  }
+
+  net::http_request Request(std::string aMethod, std::string aTarget, json const& aBody)
+  {
+    net::http_request request{ std::move(aMethod), std::move(aTarget), {}, aBody.dump() };
+    request.mHeaders.Add("Authorization", "Bearer secret");
+    return request;
+  }
+
+  net::frame_dispatcher mDispatcher;
+  membership::hello mHello;
+  membership::target_registry mTargets{ {} };
+  membership::entry_links mLinks;
+  configuration_store mStore;
+  freshness_service mFreshness;
+  access_control mAccess{ "secret" };
+  operator_service mOperators;
+  net::http_router mRouter;
+  std::vector<net::link_ptr> mAccepted;
+  std::unique_ptr<net::link_server> mServer;
+};
+
+class agent_process
+{
+public:
+  agent_process(asio::io_context& aContext, std::vector<net::tcp::endpoint> const& aEndpoints)
+    : mLinks{ aContext,
+              { .mEntries = aEndpoints, .mHello = Hello("agent", membership::process_role::agent) },
+              mDispatcher }
+    , mConfiguration{ mLinks, { .mFreshnessLimit = milliseconds{ 300 } } }
+  {
+    mConfiguration.Register(mDispatcher);
+    mDispatcher.On<membership::hello>(
+      [this](net::link_ptr const& aLink, membership::hello aMessage) {
+        mConfiguration.HelloReceived(aLink, std::move(aMessage));
+      });
+    mLinks.OnOpen([](net::link_ptr const& aLink) {
+      membership::announce message;
+      message.mTarget.mTarget = "worker";
+      aLink->Send(message);
+    });
+    mLinks.Start();
+  }
+
+  net::frame_dispatcher mDispatcher;
+  membership::entry_links mLinks;
+  agent_configuration mConfiguration;
+};
+
+struct fixture
+{
+  fixture()
+  {
+    base::ConfigureLogging(base::log_level::error, "test");
+    for (std::size_t index = 0; index < mEndpoints.size(); ++index) {
+      mEntries.push_back(std::make_unique<entry_process>(mContext, mTable, mEndpoints, index));
+    }
+  }
+
+  template<class Condition>
+  bool Eventually(Condition aCondition, milliseconds aLimit = milliseconds{ 5000 })
+  {
+    auto const deadline = base::Now() + aLimit;
+    while (!aCondition() && base::Now() < deadline) {
+      mContext.run_for(milliseconds{ 5 });
+    }
+    return aCondition();
+  }
+
+  net::http_response Call(std::size_t aEntry, std::string aMethod, std::string aTarget,
+                          json const& aBody)
+  {
+    auto& entry = *mEntries[aEntry];
+    return platform::Run(
+      mContext, entry.mRouter.Handle(entry.Request(std::move(aMethod), std::move(aTarget), aBody)));
+  }
+
+  net::http_response SetDomain(std::size_t aEntry, std::string_view aState)
+  {
+    return Call(aEntry, "POST", "/v1/domains/zone",
+                { { "state", aState }, { "base_version", mEntries[aEntry]->mStore.Version() } });
+  }
+
+  bool AllReady() const
+  {
+    return std::ranges::all_of(mEntries, [](auto const& aEntry) {
+      return aEntry->mFreshness.IsReady() && aEntry->mFreshness.HasMajority(base::Now());
+    });
+  }
+
+  asio::io_context mContext;
+  platform::memory_table mTable;
+  std::vector<net::tcp::endpoint> mEndpoints = FreeEndpoints(mContext, 3);
+  std::vector<std::unique_ptr<entry_process>> mEntries;
+  agent_process mAgent{ mContext, mEndpoints };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(freshness_test)
+
+// Guards against an accepted change that an agent or another entry does not hold, and against the
+// start gate that stays open or closed for the wrong reason, on real links.
+BOOST_FIXTURE_TEST_CASE(AcceptedChangesReachAgentsAndEntries, fixture)
+{
+  auto const isOpen = [&] { return mAgent.mConfiguration.MayStart("zone"); };
+  BOOST_REQUIRE(Eventually([&] { return AllReady() && isOpen(); }));
+  auto const out = SetDomain(0, "out_of_service");
+  BOOST_TEST(out.mStatus == 200U);
+  BOOST_TEST(json::parse(out.mBody).at("result") == "accepted");
+  BOOST_TEST(Eventually([&] { return !isOpen(); }, milliseconds{ 300 }));
+  BOOST_TEST(Eventually([&] {
+    return std::ranges::all_of(mEntries,
+                               [](auto const& aEntry) { return aEntry->mStore.Version() == 1; });
+  }));
+  // The racing change is based on the version before.
+  auto const late =
+    Call(1, "POST", "/v1/domains/zone", { { "state", "in_service" }, { "base_version", 0 } });
+  BOOST_TEST(late.mStatus == 409U);
+
+  // A store outage leaves the gate as it is while a majority is connected.
+  BOOST_TEST(SetDomain(2, "in_service").mStatus == 200U);
+  mTable.Inject({ .mAvailability = platform::availability::down });
+  Eventually([] { return false; }, milliseconds{ 600 });
+  BOOST_TEST(isOpen());
+  BOOST_TEST(AllReady());
+  BOOST_TEST(SetDomain(0, "out_of_service").mStatus == 503U);
+
+  // Without a majority and without the store nothing starts, and a cut-off entry is not ready.
+  mEntries[0]->Stop();
+  mEntries[1]->Stop();
+  BOOST_TEST(Eventually([&] { return !isOpen() && !mEntries[2]->mFreshness.IsReady(); }));
+  mTable.Inject({});
+  BOOST_TEST(Eventually([&] { return isOpen() && mEntries[2]->mFreshness.IsReady(); }));
+
+  // One entry with the store commits, but has no majority that holds the version.
+  auto const alone = SetDomain(2, "out_of_service");
+  BOOST_TEST(alone.mStatus == 202U);
+  BOOST_TEST(json::parse(alone.mBody).at("result") == "committed, not yet in force everywhere");
+}
+
+// Guards against operators' calls without the operators' token.
+BOOST_FIXTURE_TEST_CASE(CallsNeedTheOperatorsToken, fixture)
+{
+  BOOST_REQUIRE(Eventually([&] { return AllReady(); }));
+  for (auto const* const target : { "/v1/configuration", "/v1/contracts", "/v1/domains" }) {
+    net::http_request request;
+    request.mTarget = target;
+    auto const refused = platform::Run(mContext, mEntries[0]->mRouter.Handle(request));
+    BOOST_TEST(refused.mStatus == 401U);
+    BOOST_TEST(Call(0, "GET", target, {}).mStatus == 200U);
+  }
+  BOOST_TEST(Call(0, "GET", "/v1/contracts/none", {}).mStatus == 404U);
+  BOOST_TEST(Call(0, "POST", "/v1/configuration", { { "base_version", 0 } }).mStatus == 400U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::configuration
