--- /dev/null
+++ b/source/command_line/command.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "command_line/command_context.h"
+
+#include <span>
+#include <string_view>
+
+#include <boost/program_options/options_description.hpp>
+
+namespace rattanpond::command_line {
+
+/// One command of rattanpondctl.
+struct command
+{
+  /// One or two words.
+  std::string_view mName;
+  /// Positional arguments as shown in the usage text.
+  std::string_view mArguments;
+  std::size_t mArgumentCount = 0;
+  std::string_view mSummary;
+  /// Adds the options of the command alone; may be null.
+  void (*mAddOptions)(boost::program_options::options_description&) = nullptr;
+  exit_status (*mRun)(command_context&) = nullptr;
+};
+
+std::span<command const> ConfigurationCommands();
+std::span<command const> WorkCommands();
+
+} // namespace rattanpond::command_line
--- /dev/null
+++ b/source/command_line/command_context.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "command_line/entry_client.h"
+#include "command_line/exit_status.h"
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include <boost/program_options/variables_map.hpp>
+
+namespace rattanpond::command_line {
+
+enum class output_format
+{
+  text,
+  json
+};
+
+/// What a command runs with: its arguments, the entries and where it prints.
+class command_context
+{
+public:
+  struct options
+  {
+    std::vector<std::string> mArguments;
+    boost::program_options::variables_map mOptions;
+    entry_client::options mEntries;
+    output_format mFormat = output_format::text;
+  };
+
+  using printer = std::function<void(std::ostream&, base::json const&)>;
+
+  command_context(options aOptions, std::ostream& aOutput, std::ostream& aErrors);
+
+  std::string const& Argument(std::size_t aIndex) const { return mOptions.mArguments[aIndex]; }
+  bool Has(std::string const& aOption) const { return mOptions.mOptions.contains(aOption); }
+  template<class T>
+  T Option(std::string const& aOption) const
+  {
+    return mOptions.mOptions[aOption].as<T>();
+  }
+
+  base::reply<net::http_response> Get(std::string aTarget) const;
+  base::reply<net::http_response> Call(net::http_request aRequest, repeatable aRepeatable) const;
+  /// Calls one process rather than the entries.
+  base::reply<net::http_response> CallProcess(net::tcp::endpoint aProcess,
+                                              std::string aTarget) const;
+
+  /// Prints an answer, or the error in its place, and returns the exit code.
+  exit_status Report(base::reply<net::http_response> const& aAnswer, printer const& aPrint) const;
+  exit_status ReportError(base::error const& aError) const;
+  /// Prints a document that was made here.
+  void Print(base::json const& aDocument, printer const& aPrint) const;
+  std::ostream& Output() const { return mOutput; }
+
+private:
+  options mOptions;
+  std::ostream& mOutput;
+  std::ostream& mErrors;
+};
+
+} // namespace rattanpond::command_line
