--- a/source/platform/table_service.h
+++ b/source/platform/table_service.h
@@ -84,6 +84,10 @@
 /// Commits and settles lost answers: repeats the same transaction until its outcome is certain or
 /// aTimeLimit has passed. Repeating is safe because every write is conditional. condition_failed
 /// after a lost answer is settled by rereading a row and comparing its attempt id.
+/// outcome_unknown means that it cannot be settled: the time limit has passed, or other clients
+/// have replaced every trace of the transaction. A transaction that must be settled writes a value
+/// to at least one row; a row that is created if absent is not deleted while a creator may still
+/// repeat.
 boost::asio::awaitable<base::reply<base::done>> Commit(table_service& aTable,
                                                        table_transaction aTransaction,
                                                        base::milliseconds aTimeLimit);
--- a/source/platform/tests/commit_test.cpp
+++ b/source/platform/tests/commit_test.cpp
@@ -37,6 +37,14 @@
   read_mode mReads = read_mode::current;
 };
 
+/// Shows a step of a counterexample.
+std::ostream& operator<<(std::ostream& aStream, step const& aStep)
+{
+  return aStream << "{fault " << static_cast<int>(aStep.mFault) << ", rival "
+                 << static_cast<int>(aStep.mRival) << " on row " << aStep.mRivalRow << ", reads "
+                 << base::Name(aStep.mReads) << "}";
+}
+
 constexpr char const* kKeys[] = { "a", "b" };
 
 /// A table that misbehaves as scripted, counts the effects of our transaction and lets another
--- a/source/platform/tests/runner_contract_test.cpp
+++ b/source/platform/tests/runner_contract_test.cpp
@@ -5,7 +5,6 @@
 namespace {
 
 using base::milliseconds;
-using base::result_code;
 using standin::component;
 using standin::fault;
 
@@ -20,15 +19,9 @@
            .mMetadata = {} };
 }
 
-template<class T>
-T Await(subject& aSubject, boost::asio::awaitable<T> aCall)
-{
-  return Run(aSubject.Context(), std::move(aCall));
-}
-
 runner_task Listed(subject& aSubject, std::string const& aName)
 {
-  auto const tasks = Await(aSubject, aSubject.Runner().List());
+  auto const tasks = aSubject.Await(aSubject.Runner().List());
   BOOST_REQUIRE(base::Succeeded(tasks));
   for (auto const& task : std::get<0>(tasks)) {
     if (task.mTask == aName) {
@@ -70,25 +63,26 @@
                                  { call::throttle, "throttle" },
                                  { call::stop, "stop" } };
 
-result_code MakeCall(subject& aSubject, call aCall, std::string const& aTask, std::uint64_t aFence)
+std::string_view MakeCall(subject& aSubject, call aCall, std::string const& aTask,
+                          std::uint64_t aFence)
 {
   auto& runner = aSubject.Runner();
   switch (aCall) {
     case call::start: {
       auto start = Task(aTask);
       start.mFence = aFence;
-      return Code(Await(aSubject, runner.Start(std::move(start))));
+      return aSubject.Outcome(runner.Start(std::move(start)));
     }
     case call::renew:
-      return Code(Await(aSubject, runner.Renew(aTask, aFence, milliseconds{ 60'000 })));
+      return aSubject.Outcome(runner.Renew(aTask, aFence, milliseconds{ 60'000 }));
     case call::checkpoint:
-      return Code(Await(aSubject, runner.Checkpoint(aTask, aFence)));
+      return aSubject.Outcome(runner.Checkpoint(aTask, aFence));
     case call::throttle:
-      return Code(Await(aSubject, runner.Throttle(aTask, aFence, 50)));
+      return aSubject.Outcome(runner.Throttle(aTask, aFence, 50));
     case call::stop:
-      return Code(Await(aSubject, runner.Stop(aTask, aFence)));
+      return aSubject.Outcome(runner.Stop(aTask, aFence));
   }
-  return result_code::internal;
+  return "internal";
 }
 
 /// What a call returns for a task that is known with fence 5, by the state of the task.
@@ -96,19 +90,19 @@
 {
   char const* mState;
   std::uint64_t mFence;
-  result_code mExpected;
+  std::string_view mExpected;
   /// Renewing cannot bring back a task that was stopped.
-  result_code mExpectedOfRenew;
+  std::string_view mExpectedOfRenew;
 };
 
 constexpr fence_case kFenceCases[] = {
-  { "running", 4, result_code::task_lease_lost, result_code::task_lease_lost },
-  { "running", 5, result_code::ok, result_code::ok },
-  { "running", 6, result_code::ok, result_code::ok },
-  { "stopped", 4, result_code::task_lease_lost, result_code::task_lease_lost },
-  { "stopped", 5, result_code::ok, result_code::task_lease_lost },
-  { "lapsed", 5, result_code::ok, result_code::task_lease_lost },
-  { "down", 5, result_code::runner_unavailable, result_code::runner_unavailable },
+  { "running", 4, "task_lease_lost", "task_lease_lost" },
+  { "running", 5, "ok", "ok" },
+  { "running", 6, "ok", "ok" },
+  { "stopped", 4, "task_lease_lost", "task_lease_lost" },
+  { "stopped", 5, "ok", "task_lease_lost" },
+  { "lapsed", 5, "ok", "task_lease_lost" },
+  { "down", 5, "runner_unavailable", "runner_unavailable" },
 };
 
 void Reach(subject& aSubject, std::string const& aState)
@@ -138,13 +132,12 @@
         BOOST_TEST_CONTEXT(tested.mName << " with fence " << each.mFence << " of a task that is "
                                         << each.mState)
         {
-          BOOST_REQUIRE((MakeCall(aSubject, call::start, "t/1/0", 5) == result_code::ok));
+          BOOST_REQUIRE(MakeCall(aSubject, call::start, "t/1/0", 5) == "ok");
           Reach(aSubject, each.mState);
           auto const expected =
             tested.mCall == call::renew ? each.mExpectedOfRenew : each.mExpected;
           for (int repeat = 0; repeat < 2; ++repeat) {
-            BOOST_TEST(base::Name(MakeCall(aSubject, tested.mCall, "t/1/0", each.mFence)) ==
-                       base::Name(expected));
+            BOOST_TEST(MakeCall(aSubject, tested.mCall, "t/1/0", each.mFence) == expected);
           }
         }
       });
@@ -157,10 +150,10 @@
 {
   OnBoth([](subject& aSubject) {
     MakeCall(aSubject, call::start, "t", 5);
-    BOOST_TEST((MakeCall(aSubject, call::renew, "t", 9) == result_code::ok));
-    BOOST_TEST((MakeCall(aSubject, call::renew, "t", 5) == result_code::task_lease_lost));
+    BOOST_TEST(MakeCall(aSubject, call::renew, "t", 9) == "ok");
+    BOOST_TEST(MakeCall(aSubject, call::renew, "t", 5) == "task_lease_lost");
     BOOST_TEST(Listed(aSubject, "t").mFence == 9U);
-    BOOST_TEST((MakeCall(aSubject, call::renew, "unknown", 9) == result_code::not_found));
+    BOOST_TEST(MakeCall(aSubject, call::renew, "unknown", 9) == "not_found");
   });
 }
 
@@ -171,7 +164,7 @@
     for (auto const* const name : { "kept", "lost" }) {
       auto start = Task(name);
       start.mLease = milliseconds{ 150 };
-      Await(aSubject, aSubject.Runner().Start(std::move(start)));
+      aSubject.Await(aSubject.Runner().Start(std::move(start)));
     }
     MakeCall(aSubject, call::renew, "kept", 5);
     aSubject.Wait(milliseconds{ 160 });
@@ -185,8 +178,8 @@
 {
   OnBoth([](subject& aSubject) {
     auto& runner = aSubject.Runner();
-    Await(aSubject, runner.Start(Task("good", { { "work_ms", 50 } })));
-    Await(aSubject, runner.Start(Task("bad", { { "work_ms", 50 }, { "fail", true } })));
+    aSubject.Await(runner.Start(Task("good", { { "work_ms", 50 } })));
+    aSubject.Await(runner.Start(Task("bad", { { "work_ms", 50 }, { "fail", true } })));
     aSubject.Wait(milliseconds{ 70 });
     CheckPhase(aSubject, "good", task_phase::finished);
     CheckPhase(aSubject, "bad", task_phase::failed);
@@ -200,9 +193,9 @@
 {
   OnBoth([](subject& aSubject) {
     auto& runner = aSubject.Runner();
-    Await(aSubject, runner.Start(Task("first")));
+    aSubject.Await(runner.Start(Task("first")));
     aSubject.Wait(milliseconds{ 60 });
-    auto const key = Await(aSubject, runner.Checkpoint("first", 5));
+    auto const key = aSubject.Await(runner.Checkpoint("first", 5));
     BOOST_REQUIRE(base::Succeeded(key));
     auto const work = Listed(aSubject, "first").mCheckpointedWork;
     BOOST_TEST(work.count() >= 60);
@@ -210,8 +203,8 @@
     auto resumed = Task("second");
     resumed.mCheckpoint = std::get<0>(key);
     resumed.mMetadata = { { "roster", { 1, 2 } } };
-    BOOST_TEST((Code(Await(aSubject, runner.Start(resumed))) == result_code::ok));
-    Await(aSubject, runner.Throttle("second", 5, 0));
+    BOOST_TEST(aSubject.Outcome(runner.Start(resumed)) == "ok");
+    aSubject.Await(runner.Throttle("second", 5, 0));
     auto const before = Listed(aSubject, "second").mWork;
     BOOST_TEST(before.count() >= work.count());
     aSubject.Wait(milliseconds{ 30 });
@@ -219,7 +212,7 @@
     BOOST_TEST((Listed(aSubject, "second").mMetadata == resumed.mMetadata));
     auto missing = Task("third");
     missing.mCheckpoint = "none";
-    BOOST_TEST((Code(Await(aSubject, runner.Start(missing))) == result_code::object_not_found));
+    BOOST_TEST(aSubject.Outcome(runner.Start(missing)) == "object_not_found");
   });
 }
 
@@ -228,11 +221,11 @@
 BOOST_AUTO_TEST_CASE(AcceleratorsAreExclusive)
 {
   OnBoth([](subject& aSubject) {
-    BOOST_TEST((MakeCall(aSubject, call::start, "a", 5) == result_code::ok));
-    BOOST_TEST((MakeCall(aSubject, call::start, "b", 5) == result_code::ok));
-    BOOST_TEST((MakeCall(aSubject, call::start, "c", 5) == result_code::accelerators_taken));
+    BOOST_TEST(MakeCall(aSubject, call::start, "a", 5) == "ok");
+    BOOST_TEST(MakeCall(aSubject, call::start, "b", 5) == "ok");
+    BOOST_TEST(MakeCall(aSubject, call::start, "c", 5) == "accelerators_taken");
     MakeCall(aSubject, call::stop, "a", 5);
-    BOOST_TEST((MakeCall(aSubject, call::start, "c", 5) == result_code::ok));
+    BOOST_TEST(MakeCall(aSubject, call::start, "c", 5) == "ok");
   });
 }
 
@@ -242,7 +235,7 @@
 {
   OnBoth([](subject& aSubject) {
     aSubject.Begin(WorkerFault("fail_tasks"));
-    BOOST_TEST((MakeCall(aSubject, call::start, "failing", 5) == result_code::ok));
+    BOOST_TEST(MakeCall(aSubject, call::start, "failing", 5) == "ok");
     CheckPhase(aSubject, "failing", task_phase::failed);
     aSubject.End(WorkerFault("fail_tasks"));
     aSubject.Begin(WorkerFault("ignore_stop"));
@@ -258,7 +251,7 @@
 BOOST_AUTO_TEST_CASE(UsageLags)
 {
   memory_subject subject;
-  Await(subject, subject.Runner().Start(Task("t", { { "used_cores", 3 } })));
+  subject.Await(subject.Runner().Start(Task("t", { { "used_cores", 3 } })));
   struct lag_case
   {
     int mWait;
--- a/source/platform/tests/subjects.h
+++ b/source/platform/tests/subjects.h
@@ -12,11 +12,11 @@
 
 namespace rattanpond::platform {
 
-/// Code of a reply; ok when it succeeded.
+/// Name of the code of a reply; ok when it succeeded.
 template<class T>
-base::result_code Code(base::reply<T> const& aReply)
+std::string_view Outcome(base::reply<T> const& aReply)
 {
-  return base::Succeeded(aReply) ? base::result_code::ok : base::Error(aReply).mCode;
+  return base::Succeeded(aReply) ? "ok" : base::Name(base::Error(aReply).mCode);
 }
 
 /// An implementation of the platform's services under test, with faults by name.
@@ -35,6 +35,18 @@
 
   boost::asio::io_context& Context() { return mContext; }
 
+  template<class T>
+  T Await(boost::asio::awaitable<T> aCall)
+  {
+    return Run(mContext, std::move(aCall));
+  }
+
+  template<class T>
+  std::string_view Outcome(boost::asio::awaitable<base::reply<T>> aCall)
+  {
+    return platform::Outcome(Await(std::move(aCall)));
+  }
+
 private:
   boost::asio::io_context mContext;
 };
--- a/source/platform/tests/table_contract_test.cpp
+++ b/source/platform/tests/table_contract_test.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-using base::result_code;
 using standin::component;
 using standin::fault;
 
@@ -25,8 +24,7 @@
   for (std::uint64_t revision = 0; revision < 2; ++revision) {
     auto const write =
       Transaction("prepare", { { .mKey = "held", .mValue = "x", .mExpectedRevision = revision } });
-    BOOST_REQUIRE(
-      (Code(Run(aSubject.Context(), aSubject.Table().CommitOnce(write))) == result_code::ok));
+    BOOST_REQUIRE(aSubject.Outcome(aSubject.Table().CommitOnce(write)) == "ok");
   }
 }
 
@@ -34,45 +32,30 @@
 {
   char const* mFault;
   std::vector<table_write> mWrites;
-  result_code mExpected;
+  std::string_view mExpected;
   std::uint64_t mEffects;
   /// What Commit, which settles lost answers, returns in the same situation.
-  result_code mSettled;
+  std::string_view mSettled;
   std::uint64_t mSettledEffects;
 };
 
 commit_case const kCommitCases[] = {
-  { "", { kCreate }, result_code::ok, 1, result_code::ok, 1 },
-  { "", { kReplace, kCreate }, result_code::ok, 1, result_code::ok, 1 },
-  { "", { kRemove }, result_code::ok, 1, result_code::ok, 1 },
-  { "", { kReplaceOld }, result_code::condition_failed, 0, result_code::condition_failed, 0 },
-  { "",
-    { kCreate, kCreateHeld },
-    result_code::condition_failed,
-    0,
-    result_code::condition_failed,
-    0 },
-  { "", { kCreate, kCreate }, result_code::invalid_argument, 0, result_code::invalid_argument, 0 },
-  { "down", { kCreate }, result_code::store_unavailable, 0, result_code::store_unavailable, 0 },
-  { "down", { kRemove }, result_code::store_unavailable, 0, result_code::store_unavailable, 0 },
-  { "drop_requests", { kCreate }, result_code::outcome_unknown, 0, result_code::ok, 1 },
-  { "drop_requests",
-    { kReplaceOld },
-    result_code::outcome_unknown,
-    0,
-    // Revision 2 by another attempt shows that revision 1 was not replaced by this transaction.
-    result_code::condition_failed,
-    0 },
-  { "lose_answers", { kCreate }, result_code::outcome_unknown, 1, result_code::ok, 1 },
-  { "lose_answers", { kReplace, kCreate }, result_code::outcome_unknown, 1, result_code::ok, 1 },
-  { "lose_answers",
-    { kReplaceOld },
-    result_code::outcome_unknown,
-    0,
-    result_code::condition_failed,
-    0 },
+  { "", { kCreate }, "ok", 1, "ok", 1 },
+  { "", { kReplace, kCreate }, "ok", 1, "ok", 1 },
+  { "", { kRemove }, "ok", 1, "ok", 1 },
+  { "", { kReplaceOld }, "condition_failed", 0, "condition_failed", 0 },
+  { "", { kCreate, kCreateHeld }, "condition_failed", 0, "condition_failed", 0 },
+  { "", { kCreate, kCreate }, "invalid_argument", 0, "invalid_argument", 0 },
+  { "down", { kCreate }, "store_unavailable", 0, "store_unavailable", 0 },
+  { "down", { kRemove }, "store_unavailable", 0, "store_unavailable", 0 },
+  { "drop_requests", { kCreate }, "outcome_unknown", 0, "ok", 1 },
+  // Revision 2 by another attempt shows that revision 1 was not replaced by this transaction.
+  { "drop_requests", { kReplaceOld }, "outcome_unknown", 0, "condition_failed", 0 },
+  { "lose_answers", { kCreate }, "outcome_unknown", 1, "ok", 1 },
+  { "lose_answers", { kReplace, kCreate }, "outcome_unknown", 1, "ok", 1 },
+  { "lose_answers", { kReplaceOld }, "outcome_unknown", 0, "condition_failed", 0 },
   // A removed row keeps no trace of who removed it.
-  { "lose_answers", { kRemove }, result_code::outcome_unknown, 1, result_code::outcome_unknown, 1 },
+  { "lose_answers", { kRemove }, "outcome_unknown", 1, "outcome_unknown", 1 },
 };
 
 } // namespace
@@ -95,11 +78,11 @@
             aSubject.Begin({ .mFault = each.mFault, .mValue = 1 });
           }
           auto const transaction = Transaction("ours", each.mWrites);
-          auto const code =
-            settles ? Code(Run(aSubject.Context(),
-                               Commit(aSubject.Table(), transaction, base::milliseconds{ 500 })))
-                    : Code(Run(aSubject.Context(), aSubject.Table().CommitOnce(transaction)));
-          BOOST_TEST(base::Name(code) == base::Name(settles ? each.mSettled : each.mExpected));
+          auto const outcome =
+            settles
+              ? aSubject.Outcome(Commit(aSubject.Table(), transaction, base::milliseconds{ 500 }))
+              : aSubject.Outcome(aSubject.Table().CommitOnce(transaction));
+          BOOST_TEST(outcome == (settles ? each.mSettled : each.mExpected));
           BOOST_TEST(aSubject.Truth().Commits() - before ==
                      (settles ? each.mSettledEffects : each.mEffects));
         }
@@ -119,18 +102,17 @@
          { odd, std::string{ "p/2" }, std::string{ "p/1" }, std::string{ "q" } }) {
       writes.push_back({ .mKey = key, .mValue = base::json::object({ { "key", key } }) });
     }
-    BOOST_REQUIRE((Code(Run(aSubject.Context(), table.CommitOnce(Transaction("a", writes)))) ==
-                   result_code::ok));
-    auto const row = std::get<0>(Run(aSubject.Context(), table.Read(odd)));
+    BOOST_REQUIRE(aSubject.Outcome(table.CommitOnce(Transaction("a", writes))) == "ok");
+    auto const row = std::get<0>(aSubject.Await(table.Read(odd)));
     BOOST_REQUIRE(row.has_value());
     BOOST_TEST(row->mValue["key"] == odd);
     BOOST_TEST(row->mRevision == 1U);
     BOOST_TEST(row->mAttempt == "a");
-    BOOST_TEST(!std::get<0>(Run(aSubject.Context(), table.Read("p/3"))).has_value());
-    auto const first = std::get<0>(Run(aSubject.Context(), table.Scan("p/", "", 2)));
+    BOOST_TEST(!std::get<0>(aSubject.Await(table.Read("p/3"))).has_value());
+    auto const first = std::get<0>(aSubject.Await(table.Scan("p/", "", 2)));
     BOOST_REQUIRE(first.size() == 2U);
     BOOST_TEST(first[1].mKey == "p/2");
-    auto const second = std::get<0>(Run(aSubject.Context(), table.Scan("p/", "p/2", 2)));
+    auto const second = std::get<0>(aSubject.Await(table.Scan("p/", "p/2", 2)));
     BOOST_REQUIRE(second.size() == 1U);
     BOOST_TEST(second[0].mKey == odd);
   });
@@ -146,8 +128,8 @@
         writes.push_back({ .mKey = "p/" + std::to_string(index), .mValue = index });
       }
       writes.push_back({ .mKey = "q", .mValue = 0 });
-      Run(aSubject.Context(), aSubject.Table().CommitOnce(Transaction("a", writes)));
-      auto const rows = Run(aSubject.Context(), ScanAll(aSubject.Table(), "p/"));
+      aSubject.Await(aSubject.Table().CommitOnce(Transaction("a", writes)));
+      auto const rows = aSubject.Await(ScanAll(aSubject.Table(), "p/"));
       BOOST_REQUIRE(base::Succeeded(rows));
       BOOST_TEST(std::get<0>(rows).size() == count);
       std::set<std::string> keys;
@@ -168,18 +150,17 @@
     auto& table = aSubject.Table();
     fault const down{ .mFault = "down" };
     aSubject.Begin(down);
-    auto const read = Run(aSubject.Context(), table.Read("held"));
-    BOOST_TEST((Code(read) == result_code::store_unavailable));
-    auto const scan = Run(aSubject.Context(), ScanAll(table, ""));
-    BOOST_TEST((Code(scan) == result_code::store_unavailable));
+    auto const read = aSubject.Await(table.Read("held"));
+    BOOST_TEST(Outcome(read) == "store_unavailable");
+    auto const scan = aSubject.Await(ScanAll(table, ""));
+    BOOST_TEST(Outcome(scan) == "store_unavailable");
     aSubject.End(down);
     fault const stale{ .mFault = "stale_reads" };
     aSubject.Begin(stale);
-    BOOST_REQUIRE((Code(Run(aSubject.Context(),
-                            table.CommitOnce(Transaction("b", { kReplace })))) == result_code::ok));
-    BOOST_TEST(std::get<0>(Run(aSubject.Context(), table.Read("held")))->mRevision == 2U);
+    BOOST_REQUIRE(aSubject.Outcome(table.CommitOnce(Transaction("b", { kReplace }))) == "ok");
+    BOOST_TEST(std::get<0>(aSubject.Await(table.Read("held")))->mRevision == 2U);
     aSubject.End(stale);
-    BOOST_TEST(std::get<0>(Run(aSubject.Context(), table.Read("held")))->mRevision == 3U);
+    BOOST_TEST(std::get<0>(aSubject.Await(table.Read("held")))->mRevision == 3U);
   });
 }
 
@@ -190,9 +171,9 @@
   OnBoth([](subject& aSubject) {
     Prepare(aSubject);
     auto& table = aSubject.Table();
-    Run(aSubject.Context(), table.CommitOnce(Transaction("a", { kRemove })));
-    Run(aSubject.Context(), table.CommitOnce(Transaction("b", { kCreateHeld })));
-    BOOST_TEST(std::get<0>(Run(aSubject.Context(), table.Read("held")))->mRevision == 4U);
+    aSubject.Await(table.CommitOnce(Transaction("a", { kRemove })));
+    aSubject.Await(table.CommitOnce(Transaction("b", { kCreateHeld })));
+    BOOST_TEST(std::get<0>(aSubject.Await(table.Read("held")))->mRevision == 4U);
   });
 }
 
@@ -205,9 +186,9 @@
   subject.Begin(slow);
   boost::asio::steady_timer timer{ subject.Context(), base::milliseconds{ 350 } };
   timer.async_wait([&](boost::system::error_code) { subject.End(slow); });
-  auto const settled = Run(subject.Context(), Commit(subject.Table(), Transaction("a", { kCreate }),
-                                                     base::milliseconds{ 5000 }));
-  BOOST_TEST(base::Name(Code(settled)) == "ok");
+  auto const settled = subject.Await(
+    Commit(subject.Table(), Transaction("a", { kCreate }), base::milliseconds{ 5000 }));
+  BOOST_TEST(Outcome(settled) == "ok");
   BOOST_TEST(subject.Truth().Commits() == 1U);
 }
 
@@ -222,12 +203,11 @@
   options.mEndpoints = { { live.address(), 9 }, live };
   options.mClientName = "other";
   http_table other{ subject.Context(), options };
-  BOOST_TEST((Code(Run(subject.Context(), other.CommitOnce(Transaction("a", { kCreate })))) ==
-              result_code::ok));
+  BOOST_TEST(subject.Outcome(other.CommitOnce(Transaction("a", { kCreate }))) == "ok");
   subject.Begin({ .mFault = "serve_only", .mClients = { "test" } });
-  BOOST_TEST((Code(Run(subject.Context(), other.CommitOnce(Transaction("b", { kReplace })))) ==
-              result_code::store_unavailable));
-  BOOST_TEST((Code(Run(subject.Context(), subject.Table().Read("new"))) == result_code::ok));
+  BOOST_TEST(subject.Outcome(other.CommitOnce(Transaction("b", { kReplace }))) ==
+             "store_unavailable");
+  BOOST_TEST(subject.Outcome(subject.Table().Read("new")) == "ok");
 }
 
 // Guards against objects that come back changed and against an outage that looks like absence.
@@ -236,17 +216,15 @@
   OnBoth([](subject& aSubject) {
     auto& objects = aSubject.Objects();
     std::string const content{ "\0\xFF\r\n text", 9 };
-    BOOST_TEST((Code(Run(aSubject.Context(), objects.Put("a/b", content))) == result_code::ok));
-    BOOST_TEST(std::get<0>(Run(aSubject.Context(), objects.Get("a/b"))) == content);
-    BOOST_TEST((Code(Run(aSubject.Context(), objects.Get("a"))) == result_code::object_not_found));
+    BOOST_TEST(aSubject.Outcome(objects.Put("a/b", content)) == "ok");
+    BOOST_TEST(std::get<0>(aSubject.Await(objects.Get("a/b"))) == content);
+    BOOST_TEST(aSubject.Outcome(objects.Get("a")) == "object_not_found");
     fault const down{ .mComponent = component::object_store, .mFault = "down" };
     aSubject.Begin(down);
-    BOOST_TEST(
-      (Code(Run(aSubject.Context(), objects.Get("a/b"))) == result_code::store_unavailable));
-    BOOST_TEST(
-      (Code(Run(aSubject.Context(), objects.Put("a/b", ""))) == result_code::store_unavailable));
+    BOOST_TEST(aSubject.Outcome(objects.Get("a/b")) == "store_unavailable");
+    BOOST_TEST(aSubject.Outcome(objects.Put("a/b", "")) == "store_unavailable");
     aSubject.End(down);
-    BOOST_TEST(std::get<0>(Run(aSubject.Context(), objects.Get("a/b"))) == content);
+    BOOST_TEST(std::get<0>(aSubject.Await(objects.Get("a/b"))) == content);
   });
 }
 
