Requests: Add properties and fault tables

Properties now cover the agent's ledger under duplicated, reordered and lost messages, admission, and two entries with random entry crashes, agent restarts and table faults on loopback.

--- a/source/requests/tests/loopback.cpp
+++ b/source/requests/tests/loopback.cpp
@@ -86,7 +86,8 @@
 
 test_entry::test_entry(asio::io_context& aContext, platform::table_service& aTable,
                        std::vector<test_target*> const& aTargets)
-  : mService{ aContext, {}, aTable, mAccess, mMetrics }
+  : mService{ std::make_unique<request_service>(aContext, request_service::options{}, aTable,
+                                                mAccess, mMetrics) }
   , mServer{ Require(base::Capture([&] {
     return net::http_server::Create(
       aContext, { .mEndpoint = AnyPort(), .mHandler = [this](net::http_request aRequest) {
@@ -95,12 +96,12 @@
   })) }
   , mClient{ aContext, { .mEndpoint = mServer->Endpoint() } }
 {
-  mService.Register(mRouter);
+  mService->Register(mRouter);
   auto snapshot = std::make_shared<configuration::configuration_snapshot>();
   snapshot->mVersion = 1;
   snapshot->mContracts["harbour"].mWorkspace = "harbour";
-  mService.UpdateConfiguration(snapshot);
-  mService.SetAdmitting(admitting::open);
+  mService->UpdateConfiguration(snapshot);
+  mService->SetAdmitting(admitting::open);
   Update(aTargets);
   Serve(aContext, base::milliseconds{ 50 });
 }
@@ -111,7 +112,13 @@
   for (auto const* const target : aTargets) {
     descriptions->push_back(target->Description());
   }
-  mService.UpdateTargets(descriptions);
+  mService->UpdateTargets(descriptions);
+}
+
+void test_entry::Crash()
+{
+  mServer.reset();
+  mService.reset();
 }
 
 net::http_request MakeCall(test_call const& aCall)
--- a/source/requests/tests/loopback.h
+++ b/source/requests/tests/loopback.h
@@ -53,14 +53,16 @@
              std::vector<test_target*> const& aTargets);
 
   void Update(std::vector<test_target*> const& aTargets);
-  request_service& Service() { return mService; }
+  /// Ends server and service at once. The object stays: their last coroutines refer to it.
+  void Crash();
+  request_service& Service() { return *mService; }
   base::metrics_registry& Metrics() { return mMetrics; }
   net::http_client& Client() { return mClient; }
 
 private:
   base::metrics_registry mMetrics;
   configuration::access_control mAccess{ "operators" };
-  request_service mService;
+  std::unique_ptr<request_service> mService;
   net::http_router mRouter;
   std::unique_ptr<net::http_server> mServer;
   net::http_client mClient;
@@ -70,7 +72,7 @@
 struct test_call
 {
   std::string mBody = "work";
-  std::string mKey;
+  std::string mKey = {};
   std::string mIdempotent = "true";
   std::string mDeadline = "2000";
   std::string mToken = "operators";
@@ -92,6 +94,8 @@
                net::http_request aRequest);
 
   bool IsDone() const { return mReply->has_value(); }
+  /// False if the entry went away without an answer.
+  bool HasAnswer() const { return IsDone() && base::Succeeded(**mReply); }
   /// Serves the context until the answer is there, for 10 s at most.
   net::http_response Finish();
 
