Bench: Add the requests measurement

Replays a seeded arrival table (three entries, ten executors of 8 slots) on a virtual clock against the router, admission, progress and ledger code.

--- /dev/null
+++ b/source/bench/request_simulation.cpp
@@ -0,0 +1,485 @@
+#include "bench/request_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattanpond::bench {
+
+using base::result_code;
+using namespace requests;
+
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000;
+constexpr std::int64_t kEnd = 40 * kSecond;
+constexpr std::int64_t kFaultBegin = 15 * kSecond;
+constexpr std::int64_t kFaultEnd = 20 * kSecond;
+constexpr std::size_t kEntries = 3;
+constexpr std::size_t kAgents = 10;
+constexpr std::uint32_t kSlots = 8;
+// One way, from the users' sites.
+constexpr std::int64_t kDelay = 1000;
+constexpr double kMeanWorkMilliseconds = 40;
+constexpr double kCapacityPerSecond = kAgents * kSlots * 1000.0 / kMeanWorkMilliseconds;
+constexpr double kNormalLoad = 0.7;
+constexpr double kBurstLoad = 3;
+constexpr std::int64_t kReportPeriod = kSecond;
+
+struct urgency_class
+{
+  configuration::urgency mUrgency;
+  double mShare;
+  std::int64_t mDeadline;
+};
+
+constexpr urgency_class kClasses[] = {
+  { configuration::urgency::urgent, 0.2, kSecond / 2 },
+  { configuration::urgency::normal, 0.6, 2 * kSecond },
+  { configuration::urgency::patient, 0.2, 5 * kSecond },
+};
+
+configuration::request_limits const kUnlimited{ .mRequestsPerSecond = 1e6,
+                                                .mBurst = 1e6,
+                                                .mInFlight = 1'000'000 };
+
+double Percentile(std::vector<double> aSorted, double aQuantile)
+{
+  if (aSorted.empty()) {
+    return 0;
+  }
+  std::ranges::sort(aSorted);
+  auto const last = static_cast<double>(aSorted.size() - 1);
+  return aSorted[static_cast<std::size_t>(std::llround(aQuantile * last))];
+}
+
+} // namespace
+
+request_simulation::request_simulation(options aOptions)
+  : mOptions{ aOptions }
+  , mRandom{ aOptions.mSeed }
+  , mGoodput(kEnd / kSecond + 10)
+{
+}
+
+request_simulation::~request_simulation() = default;
+
+base::json request_simulation::Run()
+{
+  MakeAgents();
+  MakeEntries();
+  MakeArrivals();
+  MakeFault();
+  At(0, [this] { Tick(); });
+  while (!mEvents.empty()) {
+    auto const next = mEvents.top();
+    mEvents.pop();
+    mNow = next.mTime;
+    next.mAction();
+  }
+  return Report();
+}
+
+void request_simulation::At(microseconds aTime, std::function<void()> aAction)
+{
+  mEvents.push({ std::max(aTime, mNow), mSequence++, std::move(aAction) });
+}
+
+void request_simulation::MakeAgents()
+{
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    mAgents.push_back(
+      { .mName = "executor-" + std::to_string(index), .mIncarnation = {}, .mLedger = nullptr });
+    StartAgent(index);
+  }
+}
+
+void request_simulation::MakeEntries()
+{
+  for (std::size_t index = 0; index < kEntries; ++index) {
+    router::options const options{ .mPolicy = mOptions.mPolicy,
+                                   .mSeed = mOptions.mSeed * 100 + index };
+    mEntries.push_back({ std::make_unique<router>(options),
+                         std::make_unique<admission>(admission::options{ 1.0 / kEntries }) });
+    mEntries.back().mRouter->Update(Describe());
+    for (auto const& agent : mAgents) {
+      mEntries.back().mRouter->SetLink(agent.mName, link_state::up);
+    }
+  }
+}
+
+double request_simulation::RateAt(microseconds aTime) const
+{
+  auto const isBurst =
+    mOptions.mFault == request_fault::burst && aTime >= kFaultBegin && aTime < kFaultEnd;
+  return kCapacityPerSecond * (isBurst ? kBurstLoad : kNormalLoad);
+}
+
+void request_simulation::MakeArrivals()
+{
+  std::uniform_real_distribution<double> uniform{ 0, 1 };
+  std::exponential_distribution<double> gap{ 1 };
+  std::exponential_distribution<double> work{ 1 / kMeanWorkMilliseconds };
+  microseconds time = 0;
+  while (true) {
+    time += static_cast<microseconds>(gap(mRandom) / RateAt(time) * 1e6) + 1;
+    if (time >= kEnd) {
+      break;
+    }
+    auto draw = uniform(mRandom);
+    auto const* chosen = &kClasses[0];
+    for (auto const& candidate : kClasses) {
+      chosen = &candidate;
+      draw -= candidate.mShare;
+      if (draw < 0) {
+        break;
+      }
+    }
+    simulated_request made;
+    made.mArrival = time;
+    made.mDeadline = time + chosen->mDeadline;
+    made.mUrgency = chosen->mUrgency;
+    made.mWorkMilliseconds = work(mRandom);
+    made.mEntry = mRandom() % kEntries;
+    made.mRepeatability =
+      uniform(mRandom) < 0.3 ? repeatability::non_idempotent : repeatability::idempotent;
+    made.mProgress = request_progress{ made.mRepeatability };
+    mRequests.push_back(std::move(made));
+  }
+  for (std::size_t index = 0; index < mRequests.size(); ++index) {
+    At(mRequests[index].mArrival, [this, index] { Arrive(index); });
+  }
+}
+
+void request_simulation::MakeFault()
+{
+  if (mOptions.mFault == request_fault::domain_out) {
+    // A third of the executors; links break without notice.
+    At(kFaultBegin, [this] {
+      for (std::size_t agent = 0; agent < 3; ++agent) {
+        StopAgent(agent);
+      }
+    });
+    At(kFaultEnd, [this] {
+      for (std::size_t agent = 0; agent < 3; ++agent) {
+        StartAgent(agent);
+        for (auto& entry : mEntries) {
+          entry.mRouter->Update(Describe());
+          entry.mRouter->SetLink(mAgents[agent].mName, link_state::up);
+        }
+      }
+    });
+  }
+}
+
+std::vector<membership::target_description> request_simulation::Describe() const
+{
+  std::vector<membership::target_description> described;
+  for (auto const& agent : mAgents) {
+    membership::target_description description;
+    description.mTarget = agent.mName;
+    description.mIncarnation = agent.mIncarnation;
+    description.mKind = membership::target_kind::executor;
+    description.mService = "permits";
+    description.mSlots = kSlots;
+    described.push_back(description);
+  }
+  return described;
+}
+
+void request_simulation::Arrive(std::size_t aRequest)
+{
+  auto& request = mRequests[aRequest];
+  auto& entry = mEntries[request.mEntry];
+  if (auto const refused = entry.mAdmission->Admit("harbour", kUnlimited, Time())) {
+    request.mIsEnded = true;
+    ++mRefusals[std::string{ base::Name(*refused) }];
+    return;
+  }
+  entry.mRouter->Retries().RequestArrived();
+  At(request.mDeadline, [this, aRequest] { AtDeadline(aRequest); });
+  Place(aRequest);
+}
+
+void request_simulation::Place(std::size_t aRequest)
+{
+  auto& request = mRequests[aRequest];
+  auto& entry = mEntries[request.mEntry];
+  base::milliseconds const remaining{ (request.mDeadline - mNow) / 1000 };
+  auto const chosen = entry.mRouter->Choose("permits", request.mExcluded, remaining, Time());
+  if (auto const* const refusal = std::get_if<result_code>(&chosen)) {
+    End(aRequest, Ending(outcome::refused_not_run, *refusal, {}));
+    return;
+  }
+  auto const& choice = std::get<router::choice>(chosen);
+  request.mAttempt = std::to_string(++mAttempts);
+  request.mTarget = choice.mTarget;
+  request.mProgress.Given();
+  mByAttempt[request.mAttempt] = aRequest;
+  entry.mRouter->Sent(choice.mTarget);
+  dispatch const message{ .mAttempt = request.mAttempt,
+                          .mIncarnation = choice.mIncarnation,
+                          .mWorkspace = "harbour",
+                          .mService = "permits",
+                          .mRemaining = remaining,
+                          .mUrgency = request.mUrgency,
+                          .mRepeatability = request.mRepeatability,
+                          .mAgentClock = base::milliseconds{ mNow / 1000 },
+                          .mHeaders = {},
+                          .mBody = {} };
+  auto const agent = static_cast<std::size_t>(std::stoi(choice.mTarget.substr(9)));
+  At(mNow + kDelay, [this, agent, message, aRequest] {
+    if (!mAgents[agent].mIsUp) {
+      At(mNow + kDelay, [this, aRequest] { Lost(aRequest); });
+      return;
+    }
+    execution_ledger::actions actions;
+    mAgents[agent].mLedger->Dispatch(1, message, Time(), actions);
+    Perform(agent, actions);
+  });
+}
+
+void request_simulation::Perform(std::size_t aAgent, execution_ledger::actions const& aActions)
+{
+  for (auto const& action : aActions) {
+    if (auto const* const started = std::get_if<start_execution>(&action)) {
+      Execute(aAgent, *started);
+    } else if (auto const* const sent = std::get_if<send_answer>(&action)) {
+      auto const request = mByAttempt.at(sent->mAnswer->mAttempt);
+      At(mNow + kDelay, [this, request, told = sent->mAnswer] { Answered(request, *told); });
+    }
+  }
+}
+
+void request_simulation::Execute(std::size_t aAgent, start_execution const& aStart)
+{
+  auto const attempt = aStart.mDispatch->mAttempt;
+  auto& request = mRequests[mByAttempt.at(attempt)];
+  ++request.mStarts;
+  if (request.mRepeatability == repeatability::non_idempotent && request.mStarts > 1) {
+    ++mDoubledRuns;
+  }
+  auto const isFault = aAgent == 0 && mNow >= kFaultBegin && mNow < kFaultEnd;
+  answer ended;
+  ended.mOutcome = outcome::done;
+  ended.mProof = run_proof::may_have_run;
+  ended.mCode = result_code::ok;
+  ended.mStatus = 200;
+  auto work = static_cast<microseconds>(request.mWorkMilliseconds * 1000) + 1;
+  if (isFault && mOptions.mFault == request_fault::slow_executor) {
+    work *= 10;
+  } else if (isFault && mOptions.mFault == request_fault::failing_executor) {
+    work = 1000;
+    ended.mOutcome = request.mRepeatability == repeatability::idempotent
+                       ? outcome::failed_by_target
+                       : outcome::timed_out_may_have_run;
+    ended.mCode = CodeOf(ended.mOutcome);
+  }
+  auto const limit = aStart.mDeadline.time_since_epoch().count() * 1000 - mNow;
+  if (work > limit) {
+    work = std::max<microseconds>(1, limit);
+    ended.mOutcome = outcome::timed_out_may_have_run;
+    ended.mCode = result_code::timed_out_may_have_run;
+  }
+  ended.mServiceMicroseconds = static_cast<std::uint64_t>(work);
+  auto const incarnation = mAgents[aAgent].mIncarnation;
+  At(mNow + work, [this, aAgent, attempt, ended, incarnation] {
+    if (!mAgents[aAgent].mIsUp || mAgents[aAgent].mIncarnation != incarnation) {
+      return;
+    }
+    execution_ledger::actions actions;
+    mAgents[aAgent].mLedger->Finished(attempt, ended, Time(), actions);
+    Perform(aAgent, actions);
+  });
+}
+
+void request_simulation::Answered(std::size_t aRequest, answer const& aAnswer)
+{
+  auto& request = mRequests[aRequest];
+  if (request.mIsEnded || request.mAttempt != aAnswer.mAttempt) {
+    return;
+  }
+  auto& routing = *mEntries[request.mEntry].mRouter;
+  auto verdict = target_verdict::neutral;
+  if (aAnswer.mOutcome == outcome::done) {
+    verdict = target_verdict::good;
+  } else if (aAnswer.mProof == run_proof::may_have_run) {
+    verdict = target_verdict::bad;
+  }
+  routing.Ended(request.mTarget, verdict, &aAnswer, Time());
+  auto const step = request.mProgress.Answered(aAnswer);
+  Retry(aRequest, step, FromAnswer(aAnswer));
+}
+
+void request_simulation::Lost(std::size_t aRequest)
+{
+  auto& request = mRequests[aRequest];
+  if (request.mIsEnded) {
+    return;
+  }
+  mEntries[request.mEntry].mRouter->Ended(request.mTarget, target_verdict::bad, nullptr, Time());
+  auto const step = request.mProgress.LinkLost();
+  if (step == next_step::settle) {
+    // The agent is gone, so nobody can settle the attempt.
+    End(aRequest, Ending(outcome::timed_out_may_have_run, result_code::timed_out_may_have_run, {}));
+    return;
+  }
+  Retry(aRequest, step, Ending(outcome::refused_not_run, result_code::link_closed, {}));
+}
+
+void request_simulation::Retry(std::size_t aRequest, next_step aStep, request_result aResult)
+{
+  auto& request = mRequests[aRequest];
+  request.mExcluded.push_back(request.mTarget);
+  auto const wantsRetry = aStep == next_step::retry || aStep == next_step::retry_freely;
+  auto const mayRetry =
+    wantsRetry && mNow < request.mDeadline && request.mExcluded.size() < 4 &&
+    (aStep == next_step::retry_freely || mEntries[request.mEntry].mRouter->Retries().TryRetry());
+  if (!mayRetry) {
+    End(aRequest, std::move(aResult));
+    return;
+  }
+  ++mRetries;
+  Place(aRequest);
+}
+
+void request_simulation::AtDeadline(std::size_t aRequest)
+{
+  auto const& request = mRequests[aRequest];
+  if (request.mIsEnded) {
+    return;
+  }
+  auto const agent = static_cast<std::size_t>(std::stoi(request.mTarget.substr(9)));
+  auto const attempt = request.mAttempt;
+  At(mNow + kDelay, [this, agent, attempt] {
+    if (mAgents[agent].mIsUp) {
+      execution_ledger::actions actions;
+      mAgents[agent].mLedger->Cancel(1, { attempt, cancel_reason::deadline_passed }, Time(),
+                                     actions);
+      Perform(agent, actions);
+    }
+  });
+  // The grace of the real entry.
+  At(mNow + 100'000, [this, aRequest] {
+    auto const& late = mRequests[aRequest];
+    if (!late.mIsEnded) {
+      mEntries[late.mEntry].mRouter->Ended(late.mTarget, target_verdict::bad, nullptr, Time());
+      End(aRequest,
+          Ending(outcome::timed_out_may_have_run, result_code::timed_out_may_have_run, {}));
+    }
+  });
+}
+
+void request_simulation::End(std::size_t aRequest, request_result aResult)
+{
+  auto& request = mRequests[aRequest];
+  request.mIsEnded = true;
+  mEntries[request.mEntry].mAdmission->Finished("harbour");
+  auto const told = request.mProgress.Conclude(std::move(aResult));
+  ++mOutcomes[std::string{ base::Name(told.mOutcome) }];
+  if (told.mOutcome == outcome::refused_not_run || told.mOutcome == outcome::timed_out_not_run) {
+    ++mRefusals[std::string{ base::Name(told.mCode) }];
+    mUntrueRefusals += request.mStarts > 0 ? 1 : 0;
+  }
+  if (told.mOutcome == outcome::done) {
+    mCompletions[request.mUrgency].push_back(static_cast<double>(mNow - request.mArrival) / 1000);
+    ++mGoodput.at(static_cast<std::size_t>(mNow / kSecond));
+  }
+}
+
+void request_simulation::Tick()
+{
+  for (std::size_t agent = 0; agent < mAgents.size(); ++agent) {
+    if (!mAgents[agent].mIsUp) {
+      continue;
+    }
+    auto& ledger = *mAgents[agent].mLedger;
+    execution_ledger::actions actions;
+    ledger.Expire(Time(), actions);
+    Perform(agent, actions);
+    // Each entry hears of the load at its own moment.
+    auto const phase = mNow % kReportPeriod;
+    for (std::size_t entry = 0; entry < mEntries.size(); ++entry) {
+      if (phase / 20'000 == static_cast<microseconds>((agent * 5 + entry * 16) % 50)) {
+        load_report const report{ .mIncarnation = mAgents[agent].mIncarnation,
+                                  .mState = ledger.State(),
+                                  .mQueued = static_cast<std::uint32_t>(ledger.Queued()),
+                                  .mRunning = static_cast<std::uint32_t>(ledger.Running()),
+                                  .mAgentClock = base::milliseconds{ mNow / 1000 } };
+        auto const name = mAgents[agent].mName;
+        At(mNow + kDelay,
+           [this, entry, name, report] { mEntries[entry].mRouter->Reported(name, report); });
+      }
+    }
+  }
+  if (mNow < kEnd + 6 * kSecond) {
+    At(mNow + 20'000, [this] { Tick(); });
+  }
+}
+
+void request_simulation::StopAgent(std::size_t aAgent)
+{
+  auto& stopped = mAgents[aAgent];
+  stopped.mIsUp = false;
+  for (std::size_t entry = 0; entry < mEntries.size(); ++entry) {
+    At(mNow + kDelay, [this, entry, name = stopped.mName] {
+      mEntries[entry].mRouter->SetLink(name, link_state::down);
+      for (std::size_t index = 0; index < mRequests.size(); ++index) {
+        auto const& request = mRequests[index];
+        if (request.mEntry == entry && request.mTarget == name && !request.mIsEnded) {
+          Lost(index);
+        }
+      }
+    });
+  }
+}
+
+void request_simulation::StartAgent(std::size_t aAgent)
+{
+  auto& started = mAgents[aAgent];
+  started.mIncarnation = started.mName + "@" + std::to_string(mNow);
+  started.mIsUp = true;
+  started.mLedger = std::make_unique<execution_ledger>(
+    execution_ledger::options{ .mIncarnation = started.mIncarnation,
+                               .mService = "permits",
+                               .mSlots = kSlots,
+                               .mMaximumQueued = 64,
+                               .mStart = {},
+                               .mMemory = {} });
+}
+
+base::json request_simulation::Report() const
+{
+  base::json completion = base::json::object();
+  for (auto const& [urgency, times] : mCompletions) {
+    completion[std::string{ base::Name(urgency) }] = { { "count", times.size() },
+                                                       { "p50_ms", Percentile(times, 0.5) },
+                                                       { "p95_ms", Percentile(times, 0.95) },
+                                                       { "p99_ms", Percentile(times, 0.99) } };
+  }
+  auto const mean = [this](std::int64_t aBegin, std::int64_t aEnd) {
+    double sum = 0;
+    for (auto second = aBegin; second < aEnd; ++second) {
+      sum += static_cast<double>(mGoodput.at(static_cast<std::size_t>(second)));
+    }
+    return sum / static_cast<double>(aEnd - aBegin);
+  };
+  auto const begin = kFaultBegin / kSecond;
+  auto const end = kFaultEnd / kSecond;
+  return { { "policy", base::Name(mOptions.mPolicy) },
+           { "seed", mOptions.mSeed },
+           { "fault", base::Name(mOptions.mFault) },
+           { "requests", mRequests.size() },
+           { "completion", completion },
+           { "outcomes", mOutcomes },
+           { "refusals", mRefusals },
+           { "retries", mRetries },
+           { "goodput_per_second",
+             { { "before", mean(5, begin) },
+               { "during", mean(begin, end) },
+               { "first_second_after", mean(end, end + 1) },
+               { "after", mean(end + 1, kEnd / kSecond) } } },
+           { "doubled_non_idempotent_runs", mDoubledRuns },
+           { "untrue_refusals", mUntrueRefusals } };
+}
+
+} // namespace rattanpond::bench
