Bench: Add the path measurement

One run measures a bare Beast echo and the real request path (one entry traffic thread, two agents) with the same client.

--- a/source/bench/path_bench.cpp
+++ b/source/bench/path_bench.cpp
@@ -1,14 +1,247 @@
 #include "bench/bench.h"
 
+#include "base/identifiers.h"
 #include "base/program.h"
+#include "bench/echo_server.h"
+#include "bench/load_generator.h"
+#include "net/http_server.h"
+#include "platform/memory_table.h"
+#include "requests/executor_service.h"
+#include "requests/request_service.h"
+
+#include <thread>
+
+#include <boost/program_options.hpp>
 
 namespace rattanpond::bench {
 
-int RunPathBench(std::vector<std::string> const& /*aArguments*/)
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr std::size_t kAgents = 2;
+constexpr std::size_t kClientThreads = 2;
+constexpr std::size_t kBodyBytes = 256;
+
+/// An io_context with its thread. Parts are created before Start and live until after Stop.
+class serving_thread
+{
+public:
+  ~serving_thread() { Stop(); }
+
+  asio::io_context& Context() { return mContext; }
+  void Start()
+  {
+    mThread = std::thread{ [this] { mContext.run(); } };
+  }
+  void Stop()
+  {
+    mContext.stop();
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+private:
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{ mContext.get_executor() };
+  std::thread mThread;
+};
+
+/// An executor and its agent, one thread each.
+struct bench_target
+{
+  serving_thread mExecutorThread;
+  serving_thread mAgentThread;
+  echo_server mExecutor{ mExecutorThread.Context() };
+  std::unique_ptr<requests::executor_service> mAgent;
+};
+
+/// The whole path: one entry traffic thread, agents and executors.
+class bench_path
+{
+public:
+  static base::result<std::unique_ptr<bench_path>> Create(std::size_t aConnections)
+  {
+    std::unique_ptr<bench_path> path{ new bench_path };
+    auto targets = std::make_shared<std::vector<membership::target_description>>();
+    for (std::size_t index = 0; index < kAgents; ++index) {
+      BOOST_LEAF_AUTO(description, path->AddTarget(index, aConnections));
+      targets->push_back(description);
+    }
+    net::http_server::options const serverOptions{
+      .mEndpoint = { asio::ip::make_address("127.0.0.1"), 0 },
+      .mHandler = [raw = path.get()](
+                    net::http_request aRequest) { return raw->mRouter.Handle(std::move(aRequest)); }
+    };
+    BOOST_LEAF_AUTO(server, net::http_server::Create(path->mEntryThread.Context(), serverOptions));
+    path->mServer = std::move(server);
+    path->StartEntry(std::move(targets));
+    return path;
+  }
+
+  ~bench_path()
+  {
+    mEntryThread.Stop();
+    for (auto const& target : mTargets) {
+      target->mAgentThread.Stop();
+      target->mExecutorThread.Stop();
+    }
+  }
+  bench_path(bench_path const&) = delete;
+  bench_path& operator=(bench_path const&) = delete;
+
+  net::tcp::endpoint Endpoint() const { return mServer->Endpoint(); }
+
+private:
+  bench_path() = default;
+
+  base::result<membership::target_description> AddTarget(std::size_t aIndex,
+                                                         std::size_t aConnections)
+  {
+    auto& added = *mTargets.emplace_back(std::make_unique<bench_target>());
+    membership::target_description description;
+    description.mTarget = "executor-" + std::to_string(aIndex);
+    description.mIncarnation = base::RandomIdentifier();
+    description.mKind = membership::target_kind::executor;
+    description.mService = "echo";
+    description.mSlots = static_cast<std::uint32_t>(aConnections);
+    BOOST_LEAF_AUTO(agent, requests::executor_service::Create(
+                             added.mAgentThread.Context(),
+                             { .mTrafficEndpoint = { asio::ip::make_address("127.0.0.1"), 0 },
+                               .mExecutorEndpoint = added.mExecutor.Endpoint(),
+                               .mIncarnation = description.mIncarnation,
+                               .mService = description.mService,
+                               .mSlots = description.mSlots,
+                               .mConnections = aConnections },
+                             mMetrics));
+    added.mAgent = std::move(agent);
+    description.mTrafficAddress = net::ToString(added.mAgent->Endpoint());
+    return description;
+  }
+
+  void StartEntry(std::shared_ptr<std::vector<membership::target_description> const> aTargets)
+  {
+    auto snapshot = std::make_shared<configuration::configuration_snapshot>();
+    snapshot->mVersion = 1;
+    auto& contract = snapshot->mContracts["bench"];
+    contract.mWorkspace = "bench";
+    contract.mRequests = { .mRequestsPerSecond = 1e6, .mBurst = 1e6, .mInFlight = 1'000'000 };
+    mService.Register(mRouter);
+    mService.UpdateConfiguration(snapshot);
+    mService.UpdateTargets(std::move(aTargets));
+    mService.SetAdmitting(requests::admitting::open);
+    for (auto const& target : mTargets) {
+      target->mExecutorThread.Start();
+      target->mAgentThread.Start();
+    }
+    mEntryThread.Start();
+    // The links need a moment; the load generator would count refusals.
+    std::this_thread::sleep_for(base::milliseconds{ 300 });
+  }
+
+  base::metrics_registry mMetrics;
+  configuration::access_control mAccess{ "bench" };
+  platform::memory_table mTable;
+  net::http_router mRouter;
+  std::vector<std::unique_ptr<bench_target>> mTargets;
+  serving_thread mEntryThread;
+  requests::request_service mService{ mEntryThread.Context(), {}, mTable, mAccess, mMetrics };
+  std::unique_ptr<net::http_server> mServer;
+};
+
+net::http_request MakeRequest()
+{
+  net::http_request request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/services/echo/requests";
+  request.mHeaders.Add("Authorization", "Bearer bench");
+  request.mHeaders.Add("X-Rattanpond-Workspace", "bench");
+  request.mHeaders.Add("X-Rattanpond-Idempotent", "true");
+  request.mHeaders.Add("X-Rattanpond-Deadline-Ms", "5000");
+  request.mBody = std::string(kBodyBytes, 'x');
+  return request;
+}
+
+base::json ToJson(load_result const& aResult)
+{
+  return { { "requests_per_second", aResult.mRequestsPerSecond },
+           { "p50_us", aResult.mP50Microseconds },
+           { "p99_us", aResult.mP99Microseconds },
+           { "failures", aResult.mFailures } };
+}
+
+base::result<base::json> Measure(std::size_t aConnections, std::size_t aSeconds)
+{
+  serving_thread echoThread;
+  echo_server const echo{ echoThread.Context() };
+  echoThread.Start();
+  BOOST_LEAF_AUTO(path, bench_path::Create(aConnections));
+  auto const run = [&](net::tcp::endpoint const& aEndpoint, std::size_t aCount) {
+    return GenerateLoad({ .mEndpoint = aEndpoint,
+                          .mRequest = MakeRequest(),
+                          .mConnections = aCount,
+                          .mThreads = kClientThreads,
+                          .mTime = base::milliseconds{ aSeconds * 1000 } });
+  };
+  auto const echoMany = run(echo.Endpoint(), aConnections);
+  auto const pathMany = run(path->Endpoint(), aConnections);
+  auto const echoOne = run(echo.Endpoint(), 1);
+  auto const pathOne = run(path->Endpoint(), 1);
+  echoThread.Stop();
+  return base::json{
+    { "connections", aConnections },
+    { "seconds", aSeconds },
+    { "threads",
+      { { "client", kClientThreads },
+        { "echo", 1 },
+        { "entry", 1 },
+        { "agents", kAgents },
+        { "executors", kAgents } } },
+    { "echo", ToJson(echoMany) },
+    { "path", ToJson(pathMany) },
+    { "echo_one_connection", ToJson(echoOne) },
+    { "path_one_connection", ToJson(pathOne) },
+    { "throughput_ratio", pathMany.mRequestsPerSecond / echoMany.mRequestsPerSecond },
+    { "added_p99_us_one_connection", pathOne.mP99Microseconds - echoOne.mP99Microseconds }
+  };
+}
+
+} // namespace
+
+int RunPathBench(std::vector<std::string> const& aArguments)
 {
-  // FIXME: The measurement is written together with the code that it measures.
-  std::cerr << "rattanpond-bench: path is not available yet\n";
-  return static_cast<int>(base::exit_code::failure);
+  std::size_t connections = 0;
+  std::size_t seconds = 0;
+  options::options_description description{ "Options" };
+  description.add_options()("help,h", "print this text")(
+    "connections", options::value(&connections)->default_value(32), "connections under load")(
+    "seconds", options::value(&seconds)->default_value(3), "length of each of the four runs")(
+    "json", "accepted for uniformity; the report is always JSON");
+  options::variables_map values;
+  try {
+    options::store(options::command_line_parser(aArguments).options(description).run(), values);
+    options::notify(values);
+  } catch (options::error const& failure) {
+    std::cerr << "rattanpond-bench path: " << failure.what() << '\n';
+    return static_cast<int>(base::exit_code::invalid_settings);
+  }
+  if (values.count("help") > 0) {
+    std::cout << description;
+    return static_cast<int>(base::exit_code::success);
+  }
+  if (connections < 1 || connections > 512 || seconds < 1 || seconds > 60) {
+    std::cerr << "rattanpond-bench path: connections must be 1 to 512, seconds 1 to 60\n";
+    return static_cast<int>(base::exit_code::invalid_settings);
+  }
+  auto const measured = base::Capture([&] { return Measure(connections, seconds); });
+  if (!base::Succeeded(measured)) {
+    std::cerr << "rattanpond-bench path: " << base::Error(measured).mMessage << '\n';
+    return static_cast<int>(base::exit_code::failure);
+  }
+  std::cout << std::get<0>(measured).dump(2) << '\n';
+  return static_cast<int>(base::exit_code::success);
 }
 
 } // namespace rattanpond::bench
