Command line: Test exit codes, usage errors and repeats

A recording entry shows which calls arrive: none for wrong usage, one change of the configuration, and the same idempotency key on the next entry after a lost answer.

--- /dev/null
+++ b/source/command_line/tests/command_line_test.cpp
@@ -0,0 +1,201 @@
+#define BOOST_TEST_MODULE command_line
+#include "command_line/command_line.h"
+
+#include "command_line/exit_status.h"
+#include "net/http_server.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace rattanpond::command_line {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::json;
+using base::result_code;
+
+/// An entry that records requests and gives one answer, or closes the connection without one.
+class recording_entry
+{
+public:
+  explicit recording_entry(net::http_response aAnswer,
+                           base::milliseconds aDelay = base::milliseconds{ 0 })
+    : mAnswer{ std::move(aAnswer) }
+    , mDelay{ aDelay }
+  {
+    mServer = std::get<0>(base::Capture([&] {
+      return net::http_server::Create(
+        mContext,
+        { .mEndpoint = { asio::ip::address_v4::loopback(), 0 },
+          .mHandler = [this](net::http_request aRequest) { return Answer(std::move(aRequest)); } });
+    }));
+    mAddress = net::ToString(mServer->Endpoint());
+    mThread = std::thread{ [this] { mContext.run(); } };
+  }
+
+  ~recording_entry()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+
+  std::string mAddress;
+  std::vector<net::http_request> mRequests;
+
+private:
+  asio::awaitable<net::http_response> Answer(net::http_request aRequest)
+  {
+    mRequests.push_back(std::move(aRequest));
+    // Longer than the caller waits when the answer is to be lost.
+    std::this_thread::sleep_for(mDelay);
+    co_return mAnswer;
+  }
+
+  net::http_response mAnswer;
+  base::milliseconds mDelay;
+  asio::io_context mContext;
+  std::unique_ptr<net::http_server> mServer;
+  std::thread mThread;
+};
+
+struct outcome
+{
+  int mStatus = 0;
+  std::string mOutput;
+  std::string mErrors;
+};
+
+outcome Run(std::vector<std::string> aArguments, std::string aEntries = {})
+{
+  std::ostringstream output;
+  std::ostringstream errors;
+  auto const status = RunCommandLine(
+    aArguments, { .mEntries = std::move(aEntries), .mToken = "secret" }, output, errors);
+  return { status, output.str(), errors.str() };
+}
+
+constexpr char const* kUnreachable = "127.0.0.1:1";
+
+std::vector<std::string> SendCommand(std::string aKind)
+{
+  return { "request",      "send", "service", "--workspace", "w",
+           "--timeout-ms", "600",  "--body",  "text",        std::move(aKind) };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(command_line_test)
+
+// Guards against exit codes that scripts cannot tell apart.
+BOOST_AUTO_TEST_CASE(ExitCodesFollowTheAnswer)
+{
+  struct expectation
+  {
+    result_code mCode;
+    int mStatus;
+  };
+  expectation const kExpectations[] = {
+    { result_code::ok, 0 },
+    { result_code::guarantee_does_not_fit, 3 },
+    { result_code::unauthorized, 3 },
+    { result_code::version_conflict, 4 },
+    { result_code::committed_not_in_force, 6 },
+    { result_code::outcome_unknown, 7 },
+    { result_code::timed_out_may_have_run, 7 },
+    { result_code::timed_out_not_run, 3 },
+  };
+  for (auto const& expected : kExpectations) {
+    recording_entry entry{ expected.mCode == result_code::ok
+                             ? net::JsonResponse(200, { { "domains", json::array() } })
+                             : net::ErrorResponse({ expected.mCode, "reason" }) };
+    auto const plain = Run({ "domain", "list", "--entry", entry.mAddress });
+    BOOST_TEST(plain.mStatus == expected.mStatus);
+    auto const structured = Run({ "domain", "list", "--json" }, entry.mAddress);
+    BOOST_TEST(structured.mStatus == expected.mStatus);
+    BOOST_TEST(json::parse(structured.mOutput).is_object());
+    BOOST_TEST(entry.mRequests.at(0).mHeaders.Value("Authorization") == "Bearer secret");
+  }
+  BOOST_TEST(Run({ "domain", "list" }, kUnreachable).mStatus == 5);
+}
+
+// Guards against wrong usage that reaches an entry, or that has the exit code of a failure.
+BOOST_AUTO_TEST_CASE(WrongUsageIsFoundBeforeAnythingIsSent)
+{
+  std::vector<std::vector<std::string>> const kWrong = {
+    {},
+    { "domain" },
+    { "domain", "remove", "zone" },
+    { "domain", "out" },
+    { "domain", "out", "one", "two" },
+    { "domain", "list", "--colour" },
+    { "domain", "list", "--entry", "name:80" },
+    { "domain", "list", "--token-file", "/nonexistent" },
+    { "domain", "out", "zone", "--notice-ms", "soon" },
+    { "plan", "/nonexistent" },
+    { "job", "submit", "/nonexistent" },
+    { "request", "send", "service", "--workspace", "w" },
+    { "request", "send", "service", "--workspace", "w", "--idempotent", "--non-idempotent" },
+  };
+  recording_entry entry{ net::JsonResponse(200, json::object()) };
+  for (auto const& arguments : kWrong) {
+    BOOST_TEST(Run(arguments, entry.mAddress).mStatus == 2);
+  }
+  BOOST_TEST(entry.mRequests.empty());
+  BOOST_TEST(Run({ "domain", "list" }).mStatus == 2);
+  for (auto const* const name : { "plan", "apply" }) {
+    BOOST_TEST(Run({ name, "--help" }).mStatus == 0);
+  }
+}
+
+// Guards against a call that an unreachable entry ends, and against a request that runs twice
+// because its repeat has another key.
+BOOST_AUTO_TEST_CASE(RepeatsUseTheSameKeyOnTheNextEntry)
+{
+  recording_entry silent{ net::JsonResponse(200, json::object()), base::milliseconds{ 1500 } };
+  recording_entry answering{ net::JsonResponse(200, json::object()) };
+  auto const entries =
+    std::string{ kUnreachable } + "," + silent.mAddress + "," + answering.mAddress;
+  auto const sent = Run(SendCommand("--non-idempotent"), entries);
+  BOOST_TEST(sent.mStatus == 0, sent.mErrors);
+  BOOST_REQUIRE(silent.mRequests.size() == 1U);
+  BOOST_REQUIRE(answering.mRequests.size() == 1U);
+  auto const key = answering.mRequests[0].mHeaders.Value("Idempotency-Key");
+  BOOST_TEST(!key.empty());
+  BOOST_TEST(silent.mRequests[0].mHeaders.Value("Idempotency-Key") == key);
+  BOOST_TEST(answering.mRequests[0].mHeaders.Value("X-Rattanpond-Idempotent") == "false");
+  // A lost answer stays unknown although a later entry cannot be reached.
+  auto const lost = Run(SendCommand("--idempotent"), silent.mAddress + "," + kUnreachable);
+  BOOST_TEST(lost.mStatus == 7);
+}
+
+// Guards against a change of the configuration that is sent a second time after its answer was
+// lost, and is then reported as a conflict with itself.
+BOOST_AUTO_TEST_CASE(ChangesAreNotRepeated)
+{
+  recording_entry reading{ net::JsonResponse(200, { { "version", 3 } }) };
+  auto const out = Run({ "domain", "out", "zone", "--notice-ms", "500" }, reading.mAddress);
+  BOOST_TEST(out.mStatus == 0);
+  BOOST_REQUIRE(reading.mRequests.size() == 2U);
+  BOOST_TEST(json::parse(reading.mRequests[1].mBody) ==
+             (json{ { "state", "out_of_service" }, { "base_version", 3 }, { "notice_ms", 500 } }));
+  auto const directory = std::filesystem::temp_directory_path() / "rattanpond-command-line-test";
+  std::filesystem::create_directories(directory);
+  std::ofstream{ directory / "contracts.toml" } << "[[contract]]\nworkspace = \"w\"\n";
+  auto const applied = Run({ "apply", directory.string(), "--json" }, reading.mAddress);
+  std::filesystem::remove_all(directory);
+  BOOST_TEST(applied.mStatus == 0);
+  BOOST_REQUIRE(reading.mRequests.size() == 4U);
+  auto const sent = json::parse(reading.mRequests[3].mBody);
+  BOOST_TEST(sent.at("base_version") == 3);
+  BOOST_TEST(sent.at("contracts").at(0).at("workspace") == "w");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::command_line
--- a/source/configuration/tests/configuration_store_test.cpp
+++ b/source/configuration/tests/configuration_store_test.cpp
@@ -112,6 +112,7 @@
   auto const holds = rc::check([&] {
     fixture world;
     std::vector<std::unique_ptr<configuration_store>> stores;
+    stores.reserve(3);
     for (int index = 0; index < 3; ++index) {
       stores.push_back(
         std::make_unique<configuration_store>(world.mContext, world.mTable, world.mOptions));
