--- a/source/configuration/tests/examples_test.cpp
+++ b/source/configuration/tests/examples_test.cpp
@@ -30,7 +30,7 @@
                         .mRegion = "region",
                         .mDomain = domain,
                         .mRack = domain + "-rack-" + std::to_string(index / 3),
-                        .mKind = "standard",
+                        .mKind = "gpu",
                         .mAccelerators = 8,
                         .mCores = aCores,
                         .mMemoryMebibytes = 256'000 };
