--- a/tests/black_box_test.sh
+++ b/tests/black_box_test.sh
@@ -8,7 +8,7 @@
 port=${2:-23000}
 folder=$(mktemp -d)
 source ./scripts/deployment-functions
-trap 'stop_all; rm -rf "$folder"' EXIT
+trap 'status=$?; [ $status -eq 0 ] || echo "stopped with status $status in ${FUNCNAME[*]:-main}"; stop_all; rm -rf "$folder"' EXIT
 
 passed=0
 
@@ -335,6 +335,96 @@
   pass "all entries restarted"
 }
 
+# A store outage together with the loss of the scheduler stops all starts for good.
+case_store_down_and_scheduler_killed() {
+  local first borrower owner
+  borrower=$(submit borrower-2 routing 10 8 same_region 120000)
+  await 15 has_runs "$borrower" 10
+  first=$(holder)
+  fault table "" down
+  end "entry-$first" KILL
+  await 25 has_holder
+  # The owner calls while nothing can be written: its gang is committed on agents at once or refused.
+  await 60 submit_accepted owner-2 re-rating 2 8 same_rack 15000
+  owner=$(submit owner-2 re-rating 2 8 same_rack 15000)
+  await 40 has_runs "$owner" 2
+  expect "the borrower left whole" has_runs "$borrower" 0
+  end_fault table "" down
+  start "entry-$first" rattanpond-entry
+  await 15 is_ready "$first"
+  await 30 job_is "$owner" finished
+  ctl job cancel "$borrower" > /dev/null
+  await 20 job_is "$borrower" cancelled
+  pass "store down and scheduler killed"
+}
+
+submit_accepted() { [ -n "$(submit "$@")" ]; }
+
+# An executor in graceful shutdown is given new requests, or a cut answer is handed over as whole.
+case_executors() {
+  local i code
+  fault executor executor-1 drain
+  sleep 3
+  for i in {1..60}; do answers $((i % 3 + 1)) "d$i" body true "200 done 0"; done
+  expect "the draining executor got nothing" [ "$(curl -sf -m 5 "http://$STANDIN/standin/executions" |
+    jq '.executors[] | select(.executor == "executor-1") | .while_draining')" = 0 ]
+  end_fault executor executor-1 drain
+  for i in {1..10}; do fault executor "executor-$i" truncate; done
+  code=$(request 1 t1 body false)
+  [[ "$code" == 50[24]* && "$code" != *done* ]] || fail "a cut answer was answered with '$code'"
+  for i in {1..10}; do end_fault executor "executor-$i" truncate; done
+  # The second try with the same key must not run it again.
+  request 2 t1 body false > /dev/null
+  expect "t1 ran once" [ "$(executions_of t1)" = 1 ]
+  # Executors that failed are tried again by and by.
+  await 20 serves_again
+  pass "draining and cut executors"
+}
+
+serves_again() { [ "$(request 1 "again-$RANDOM$RANDOM" body true)" = "200 done 0" ]; }
+
+# A paused agent runs a request twice, or wakes up and runs tasks of a gang that moved on.
+case_agent_paused() {
+  local id victim others i
+  id=$(submit paused-member re-rating 2 8 same_rack 9000)
+  await 10 has_runs "$id" 2
+  read -r victim others <<< "$(workers_of "$id" | tr '\n' ' ')"
+  kill -STOP "${pids[worker-$victim]}" "${pids[executor-1]}"
+  for i in {1..20}; do request $((i % 3 + 1)) "p$i" body false > /dev/null; done
+  sleep 14
+  kill -CONT "${pids[worker-$victim]}" "${pids[executor-1]}"
+  await 40 job_is "$id" finished
+  expect "nothing of it runs on" has_runs "$id" 0
+  for i in {1..20}; do
+    expect "p$i ran at most once" [ "$(executions_of "p$i")" -le 1 ]
+  done
+  pass "agent paused"
+}
+
+# Two operators change the same version and one change is lost.
+case_operators_race() {
+  local version i conflicts
+  version=$(version_at 1)
+  for i in {1..4}; do
+    curl -s -m 8 -H "Authorization: Bearer $RATTANPOND_TOKEN" \
+      -d "{\"base_version\":$version,\"contracts\":[{\"workspace\":\"race-$i\"}]}" \
+      "http://$(entry_http $((i % 3 + 1)))/v1/configuration" > "$folder/race-$i" &
+  done
+  wait %% 2>/dev/null || true
+  await 10 race_answered
+  conflicts=$(cat "$folder"/race-? | grep -c version_conflict || true)
+  expect "three of four conflict" [ "$conflicts" = 3 ]
+  expect "one version more" [ "$(version_at 1)" = "$((version + 1))" ]
+  await 7 same_version_everywhere "$((version + 1))"
+  pass "operators race"
+}
+
+race_answered() { [ "$(cat "$folder"/race-? | grep -c '"')" -ge 4 ]; }
+same_version_everywhere() {
+  local i
+  for i in 1 2 3; do [ "$(version_at "$i")" = "$1" ] || return 1; done
+}
+
 ./scripts/generate-deployment tulay-kargada "$folder" "$port"
 write_declarations
 start_deployment
@@ -342,7 +432,8 @@
 await 15 has_holder
 
 cases=(whole_path scheduler_killed scheduler_paused store_down reclaim_without_store lost_answers
-  agent_killed agent_replaced domain_out entry_stopped all_entries_restarted)
+  agent_killed agent_replaced domain_out entry_stopped all_entries_restarted
+  store_down_and_scheduler_killed executors agent_paused operators_race)
 for name in ${BLACK_BOX_CASES:-${cases[@]}}; do
   "case_$name"
 done
