Requests: Compare targets by the work ahead in two choices

Cause: with free slots two choices compared service times alone, so a target whose first answers were slow was never chosen and never corrected; in the path measurement one of two agents got 97% of the requests. The comparison is now (load + 1) * service time / slots.

--- a/source/requests/router.cpp
+++ b/source/requests/router.cpp
@@ -185,9 +185,10 @@
   // The request starts once fewer than `slots` others are left.
   auto const ahead = std::max(0.0, load + 1 - slots);
   auto const wait = ahead * service / slots;
-  return {
-    .mTarget = aIndex, .mLoad = load, .mWaitMilliseconds = wait, .mEndMilliseconds = wait + service
-  };
+  return { .mTarget = aIndex,
+           .mLoad = load,
+           .mWorkMilliseconds = (load + 1) * service / slots,
+           .mEndMilliseconds = wait + service };
 }
 
 bool router::IsEligible(routed_target const& aTarget, std::string const& aService,
--- a/source/requests/routing_policy.cpp
+++ b/source/requests/routing_policy.cpp
@@ -13,9 +13,9 @@
 
 bool IsBetter(routing_candidate const& aLeft, routing_candidate const& aRight)
 {
-  // While slots are free all waits are equal, and the load tells which target is less busy.
-  return std::pair{ aLeft.mEndMilliseconds, aLeft.mLoad } <
-         std::pair{ aRight.mEndMilliseconds, aRight.mLoad };
+  // The load decides alone until service times are known.
+  return std::pair{ aLeft.mWorkMilliseconds, aLeft.mLoad } <
+         std::pair{ aRight.mWorkMilliseconds, aRight.mLoad };
 }
 
 class two_choices final : public routing_policy
--- a/source/requests/routing_policy.h
+++ b/source/requests/routing_policy.h
@@ -24,8 +24,9 @@
   std::size_t mTarget = 0;
   /// Estimated requests waiting and running there.
   double mLoad = 0;
-  /// Estimated time until a new request starts.
-  double mWaitMilliseconds = 0;
+  /// Estimated work ahead of and including a new request, spread over the slots. Unlike the wait it
+  /// grows with every request, so that no target is preferred for its service time alone.
+  double mWorkMilliseconds = 0;
   /// Estimated time until a new request ends.
   double mEndMilliseconds = 0;
 };
--- a/source/requests/tests/router_test.cpp
+++ b/source/requests/tests/router_test.cpp
@@ -119,6 +119,24 @@
   BOOST_TEST(Choose(milliseconds{ 100 }).has_value());
 }
 
+// Guards against a target that is never chosen again because its first answer was slow.
+BOOST_FIXTURE_TEST_CASE(ASlowFirstAnswerDoesNotStarveATarget, ten_targets)
+{
+  for (auto const& target : MakeTargets(10)) {
+    mRouter.Sent(target.mTarget);
+    auto const told = Timed(target.mTarget == "executor-0" ? 12 : 10);
+    mRouter.Ended(target.mTarget, target_verdict::good, &told, mNow);
+  }
+  // Enough requests at once that the load counts.
+  std::map<std::string, int> counts;
+  for (int count = 0; count < 40; ++count) {
+    auto const target = Choose().value();
+    ++counts[target];
+    mRouter.Sent(target);
+  }
+  BOOST_TEST(counts["executor-0"] > 0);
+}
+
 // Guards against admitting what cannot finish in time.
 BOOST_FIXTURE_TEST_CASE(RefusesAnUnreachableDeadline, ten_targets)
 {
