--- a/source/bench/path_bench.cpp
+++ b/source/bench/path_bench.cpp
@@ -58,11 +58,47 @@
   std::unique_ptr<requests::executor_service> mAgent;
 };
 
-/// The whole path: one entry traffic thread, agents and executors.
+net::tcp::endpoint AnyPort()
+{
+  return { asio::ip::make_address("127.0.0.1"), 0 };
+}
+
+/// A traffic thread of the entry.
+struct bench_entry
+{
+  bench_entry(configuration::access_control const& aAccess, base::metrics_registry& aMetrics,
+              std::uint64_t aSeed)
+    : mService{ mThread.Context(), { .mSeed = aSeed }, mTable, aAccess, aMetrics }
+  {
+    mService.Register(mRouter);
+  }
+
+  base::result<void> Listen(net::tcp::endpoint const& aEndpoint)
+  {
+    BOOST_LEAF_AUTO(server, net::http_server::Create(
+                              mThread.Context(), { .mEndpoint = aEndpoint,
+                                                   .mHandler =
+                                                     [this](net::http_request aRequest) {
+                                                       return mRouter.Handle(std::move(aRequest));
+                                                     },
+                                                   .mSharesPort = true }));
+    mServer = std::move(server);
+    return {};
+  }
+
+  platform::memory_table mTable;
+  net::http_router mRouter;
+  serving_thread mThread;
+  requests::request_service mService;
+  std::unique_ptr<net::http_server> mServer;
+};
+
+/// The whole path: one entry with its traffic threads, agents and executors.
 class bench_path
 {
 public:
-  static base::result<std::unique_ptr<bench_path>> Create(std::size_t aConnections)
+  static base::result<std::unique_ptr<bench_path>> Create(std::size_t aConnections,
+                                                          std::size_t aEntryThreads)
   {
     std::unique_ptr<bench_path> path{ new bench_path };
     auto targets = std::make_shared<std::vector<membership::target_description>>();
@@ -70,20 +106,22 @@
       BOOST_LEAF_AUTO(description, path->AddTarget(index, aConnections));
       targets->push_back(description);
     }
-    net::http_server::options const serverOptions{
-      .mEndpoint = { asio::ip::make_address("127.0.0.1"), 0 },
-      .mHandler = [raw = path.get()](
-                    net::http_request aRequest) { return raw->mRouter.Handle(std::move(aRequest)); }
-    };
-    BOOST_LEAF_AUTO(server, net::http_server::Create(path->mEntryThread.Context(), serverOptions));
-    path->mServer = std::move(server);
-    path->StartEntry(std::move(targets));
+    auto endpoint = AnyPort();
+    for (std::size_t index = 0; index < aEntryThreads; ++index) {
+      auto& added = *path->mEntries.emplace_back(
+        std::make_unique<bench_entry>(path->mAccess, path->mMetrics, index + 1));
+      BOOST_LEAF_CHECK(added.Listen(endpoint));
+      endpoint = added.mServer->Endpoint();
+    }
+    path->Start(std::move(targets));
     return path;
   }
 
   ~bench_path()
   {
-    mEntryThread.Stop();
+    for (auto const& entry : mEntries) {
+      entry->mThread.Stop();
+    }
     for (auto const& target : mTargets) {
       target->mAgentThread.Stop();
       target->mExecutorThread.Stop();
@@ -92,7 +130,7 @@
   bench_path(bench_path const&) = delete;
   bench_path& operator=(bench_path const&) = delete;
 
-  net::tcp::endpoint Endpoint() const { return mServer->Endpoint(); }
+  net::tcp::endpoint Endpoint() const { return mEntries.front()->mServer->Endpoint(); }
 
 private:
   bench_path() = default;
@@ -107,48 +145,45 @@
     description.mKind = membership::target_kind::executor;
     description.mService = "echo";
     description.mSlots = static_cast<std::uint32_t>(aConnections);
-    BOOST_LEAF_AUTO(agent, requests::executor_service::Create(
-                             added.mAgentThread.Context(),
-                             { .mTrafficEndpoint = { asio::ip::make_address("127.0.0.1"), 0 },
-                               .mExecutorEndpoint = added.mExecutor.Endpoint(),
-                               .mIncarnation = description.mIncarnation,
-                               .mService = description.mService,
-                               .mSlots = description.mSlots,
-                               .mConnections = aConnections },
-                             mMetrics));
+    BOOST_LEAF_AUTO(
+      agent, requests::executor_service::Create(added.mAgentThread.Context(),
+                                                { .mTrafficEndpoint = AnyPort(),
+                                                  .mExecutorEndpoint = added.mExecutor.Endpoint(),
+                                                  .mIncarnation = description.mIncarnation,
+                                                  .mService = description.mService,
+                                                  .mSlots = description.mSlots,
+                                                  .mConnections = aConnections },
+                                                mMetrics));
     added.mAgent = std::move(agent);
     description.mTrafficAddress = net::ToString(added.mAgent->Endpoint());
     return description;
   }
 
-  void StartEntry(std::shared_ptr<std::vector<membership::target_description> const> aTargets)
+  void Start(std::shared_ptr<std::vector<membership::target_description> const> aTargets)
   {
     auto snapshot = std::make_shared<configuration::configuration_snapshot>();
     snapshot->mVersion = 1;
     auto& contract = snapshot->mContracts["bench"];
     contract.mWorkspace = "bench";
     contract.mRequests = { .mRequestsPerSecond = 1e6, .mBurst = 1e6, .mInFlight = 1'000'000 };
-    mService.Register(mRouter);
-    mService.UpdateConfiguration(snapshot);
-    mService.UpdateTargets(std::move(aTargets));
-    mService.SetAdmitting(requests::admitting::open);
     for (auto const& target : mTargets) {
       target->mExecutorThread.Start();
       target->mAgentThread.Start();
     }
-    mEntryThread.Start();
+    for (auto const& entry : mEntries) {
+      entry->mService.UpdateConfiguration(snapshot);
+      entry->mService.UpdateTargets(aTargets);
+      entry->mService.SetAdmitting(requests::admitting::open);
+      entry->mThread.Start();
+    }
     // The links need a moment; the load generator would count refusals.
     std::this_thread::sleep_for(base::milliseconds{ 300 });
   }
 
   base::metrics_registry mMetrics;
   configuration::access_control mAccess{ "bench" };
-  platform::memory_table mTable;
-  net::http_router mRouter;
   std::vector<std::unique_ptr<bench_target>> mTargets;
-  serving_thread mEntryThread;
-  requests::request_service mService{ mEntryThread.Context(), {}, mTable, mAccess, mMetrics };
-  std::unique_ptr<net::http_server> mServer;
+  std::vector<std::unique_ptr<bench_entry>> mEntries;
 };
 
 net::http_request MakeRequest()
@@ -172,12 +207,13 @@
            { "failures", aResult.mFailures } };
 }
 
-base::result<base::json> Measure(std::size_t aConnections, std::size_t aSeconds)
+base::result<base::json> Measure(std::size_t aConnections, std::size_t aSeconds,
+                                 std::size_t aEntryThreads)
 {
   serving_thread echoThread;
   echo_server const echo{ echoThread.Context() };
   echoThread.Start();
-  BOOST_LEAF_AUTO(path, bench_path::Create(aConnections));
+  BOOST_LEAF_AUTO(path, bench_path::Create(aConnections, aEntryThreads));
   auto const run = [&](net::tcp::endpoint const& aEndpoint, std::size_t aCount) {
     return GenerateLoad({ .mEndpoint = aEndpoint,
                           .mRequest = MakeRequest(),
@@ -196,7 +232,7 @@
     { "threads",
       { { "client", kClientThreads },
         { "echo", 1 },
-        { "entry", 1 },
+        { "entry", aEntryThreads },
         { "agents", kAgents },
         { "executors", kAgents } } },
     { "echo", ToJson(echoMany) },
@@ -214,10 +250,13 @@
 {
   std::size_t connections = 0;
   std::size_t seconds = 0;
+  std::size_t entryThreads = 0;
   options::options_description description{ "Options" };
   description.add_options()("help,h", "print this text")(
     "connections", options::value(&connections)->default_value(32), "connections under load")(
     "seconds", options::value(&seconds)->default_value(3), "length of each of the four runs")(
+    "entry-threads", options::value(&entryThreads)->default_value(1),
+    "traffic threads of the entry; the echo always has one")(
     "json", "accepted for uniformity; the report is always JSON");
   options::variables_map values;
   try {
@@ -231,11 +270,13 @@
     std::cout << description;
     return static_cast<int>(base::exit_code::success);
   }
-  if (connections < 1 || connections > 512 || seconds < 1 || seconds > 60) {
-    std::cerr << "rattanpond-bench path: connections must be 1 to 512, seconds 1 to 60\n";
+  if (connections < 1 || connections > 512 || seconds < 1 || seconds > 60 || entryThreads < 1 ||
+      entryThreads > 4) {
+    std::cerr << "rattanpond-bench path: connections must be 1 to 512, seconds 1 to 60, "
+                 "entry-threads 1 to 4\n";
     return static_cast<int>(base::exit_code::invalid_settings);
   }
-  auto const measured = base::Capture([&] { return Measure(connections, seconds); });
+  auto const measured = base::Capture([&] { return Measure(connections, seconds, entryThreads); });
   if (!base::Succeeded(measured)) {
     std::cerr << "rattanpond-bench path: " << base::Error(measured).mMessage << '\n';
     return static_cast<int>(base::exit_code::failure);
