Scheduling: Bound partial runs of gangs after restarts, losses and pauses

Cause: a simulation over random faults found parts that ran alone for up to 8.8 s instead of 6 s: a restarted agent gave its tasks a whole lease before its coordinator granted one, a member that answered but missed every grant did not hold the others back, and a paused agent vouched for a task that had ended. Change: time to find the coordinator is not a lease; a member that has yet to start counts as heard at the first grant only; a round is answered after the runner was asked.

--- a/source/scheduling/gang_coordinator.cpp
+++ b/source/scheduling/gang_coordinator.cpp
@@ -66,8 +66,10 @@
     return std::ranges::all_of(mMembers, aPredicate, &member::mState);
   };
   auto const state = aMember.mState;
+  // An adopted gang has run for an unknown time, so a member that has yet to start is too late.
   auto const isLostFromGang =
-    mIsFormed && (state == member_state::unknown || state == member_state::gate_closed);
+    mIsFormed && (state == member_state::unknown || state == member_state::gate_closed ||
+                  (state == member_state::waiting && mOptions.mOrigin == gang_origin::adopted));
   if (state == member_state::stopping || state == member_state::failed ||
       state == member_state::stopped || isLostFromGang) {
     return Break(break_cause::broken,
@@ -149,7 +151,10 @@
 std::vector<gang_coordinator::order> gang_coordinator::Grants(base::time_point aNow)
 {
   auto const lease = Lease(aNow);
-  mIsFormed = mIsFormed || lease.count() > 0;
+  if (!mIsFormed && lease.count() > 0) {
+    mIsFormed = true;
+    mFormedAt = aNow;
+  }
   std::vector<order> orders;
   for (auto const& each : mMembers) {
     orders.push_back({ each.mWorker, gang_grant{ .mGang = mOptions.mGang,
@@ -175,6 +180,11 @@
   auto oldest = base::time_point::max();
   for (auto const& each : mMembers) {
     oldest = std::min(oldest, each.mHeard.value_or(mCreated));
+    // A member that answers but misses every grant holds the others' leases back as a lost one
+    // does.
+    if (mFormedAt && each.mState == member_state::waiting) {
+      oldest = std::min(oldest, *mFormedAt);
+    }
   }
   return oldest;
 }
--- a/source/scheduling/gang_coordinator.h
+++ b/source/scheduling/gang_coordinator.h
@@ -84,6 +84,8 @@
   base::time_point mNextRound;
   std::uint64_t mGrantedRound = 0;
   bool mIsFormed = false;
+  /// First grant; empty for an adopted gang.
+  std::optional<base::time_point> mFormedAt;
   std::optional<gang_break> mBreak;
   base::time_point mBrokenAt{};
 };
--- a/source/scheduling/gang_member.cpp
+++ b/source/scheduling/gang_member.cpp
@@ -13,6 +13,9 @@
 // A runner that refuses a start three times does not take it within a lease.
 constexpr std::uint32_t kStartTries = 3;
 
+// The runner takes no shorter lease; a longer one than is left would outlast the gang.
+constexpr base::milliseconds kShortestTaskLease{ 100 };
+
 } // namespace
 
 gang_member::gang_member(options aOptions, base::time_point aNow)
@@ -65,7 +68,13 @@
 
 gang_member::actions gang_member::Grant(gang_grant const& aGrant, gate aGate, base::time_point aNow)
 {
-  mRound = aGrant.mRound;
+  if (aGrant.mRound != mRoundSeen) {
+    mRoundSeen = aGrant.mRound;
+    mRoundSeenAt = aNow;
+  }
+  if (!AnswersFromList()) {
+    mRound = mRoundSeen;
+  }
   auto const echoed = std::ranges::find(mSentBeats, aGrant.mBeat, &sent_beat::mNumber);
   if (aGrant.mLease.count() <= 0 || echoed == mSentBeats.end() || mIsBroken) {
     return {};
@@ -74,7 +83,8 @@
   if (end <= aNow) {
     return {};
   }
-  mLeaseEnd = std::max(mLeaseEnd, end);
+  // The time that adopted tasks get to find their coordinator is not a lease.
+  mLeaseEnd = mIsGranted ? std::max(mLeaseEnd, end) : end;
   mIsGranted = true;
   if (!HasNotStarted()) {
     return {};
@@ -161,7 +171,8 @@
     }
     return {};
   }
-  if (mState == member_state::starting && ++started.mStartTries < kStartTries) {
+  if (mState == member_state::starting && ++started.mStartTries < kStartTries &&
+      TaskLease(aNow) >= kShortestTaskLease) {
     return { { member_order::start, aTask, TaskLease(aNow) } };
   }
   // The call may have taken effect although its answer says otherwise; the next list tells.
@@ -207,6 +218,19 @@
   return {};
 }
 
+void gang_member::Listed(base::time_point aAskedAt)
+{
+  if (mRound != mRoundSeen && aAskedAt >= mRoundSeenAt) {
+    mRound = mRoundSeen;
+    mNextBeat = base::time_point::min();
+  }
+}
+
+bool gang_member::AnswersFromList() const
+{
+  return !HasNotStarted() && mState != member_state::starting && !IsOver(mState);
+}
+
 void gang_member::Set(task& aTask, task_state aState, base::time_point aNow)
 {
   aTask.mState = aState;
@@ -308,7 +332,11 @@
     return {};
   }
   mNextRenew = aNow + mOptions.mTimings.mRenewPeriod;
-  auto ordered = ForTasks(member_order::renew, TaskLease(aNow));
+  auto const lease = TaskLease(aNow);
+  if (lease < kShortestTaskLease) {
+    return {};
+  }
+  auto ordered = ForTasks(member_order::renew, lease);
   std::erase_if(ordered, [&](member_action const& aAction) {
     return mTasks[aAction.mTask].mState != task_state::running;
   });
@@ -358,7 +386,7 @@
   }
   // The runner ends the tasks of a dead or paused agent together with the rest of the gang.
   auto const left = mLeaseEnd + timings.mStopGrace - aNow;
-  return std::clamp(left, base::milliseconds{ 100 }, timings.mTaskLease);
+  return std::min(left, timings.mTaskLease);
 }
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/gang_member.h
+++ b/source/scheduling/gang_member.h
@@ -83,6 +83,12 @@
   /// does not have the task.
   actions Observed(std::uint32_t aTask, std::optional<platform::task_phase> aPhase,
                    base::time_point aAskedAt, base::time_point aNow);
+  /// All tasks were observed in such a list. A round that the member saw before it asked is
+  /// answered from now on.
+  void Listed(base::time_point aAskedAt);
+  /// A new round is answered only after the runner was asked, so that an agent that was paused does
+  /// not vouch for tasks that have ended in the meantime.
+  bool AnswersFromList() const;
 
   member_state State() const { return mState; }
   std::string const& Reason() const { return mReason; }
@@ -146,7 +152,10 @@
   std::vector<std::string> mCheckpoints;
   std::deque<sent_beat> mSentBeats;
   std::uint64_t mNextBeatNumber = 1;
+  /// Latest round that the tasks were seen to run after.
   std::uint64_t mRound = 0;
+  std::uint64_t mRoundSeen = 0;
+  base::time_point mRoundSeenAt{};
   base::time_point mCreated;
   base::time_point mNextBeat;
   base::time_point mLeaseEnd;
--- a/source/scheduling/runner_driver.cpp
+++ b/source/scheduling/runner_driver.cpp
@@ -59,6 +59,7 @@
 
 void runner_driver::Poll()
 {
+  mIsListDue = mIsListing;
   if (!mIsListing) {
     mIsListing = true;
     co_spawn(mContext, List(mAlive), asio::detached);
@@ -167,6 +168,9 @@
   if (base::Succeeded(listed)) {
     mObservers.mListed(std::get<0>(listed), askedAt);
   }
+  if (*aAlive && mIsListDue) {
+    Poll();
+  }
 }
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/runner_driver.h
+++ b/source/scheduling/runner_driver.h
@@ -53,7 +53,7 @@
   runner_driver& operator=(runner_driver const&) = delete;
 
   void Run(gang_description const& aGang, gang_member::actions const& aActions);
-  /// Asks for the list unless a list is under way.
+  /// Asks for the list. While one is under way, asks for another one after it.
   void Poll();
   /// Takes a task over with a fence above that of its earlier holder.
   void Adopt(gang_id const& aGang, std::uint32_t aRank, std::uint64_t aFence);
@@ -83,6 +83,7 @@
   std::map<gang_id, std::map<std::uint32_t, std::uint64_t>> mFences;
   alive mAlive = std::make_shared<bool>(true);
   bool mIsListing = false;
+  bool mIsListDue = false;
 };
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/tests/cluster.h
+++ b/source/scheduling/tests/cluster.h
@@ -34,8 +34,24 @@
   return acceptor.local_endpoint();
 }
 
-/// An entry as the daemon assembles it, on the shared context of a test.
-class test_entry
+/// The context of one process. The end of the process drops its pending handlers uncalled, and its
+/// links with them.
+class test_process
+{
+public:
+  void Poll()
+  {
+    mContext.restart();
+    mContext.poll();
+  }
+  boost::asio::io_context& Context() { return mContext; }
+
+protected:
+  boost::asio::io_context mContext;
+};
+
+/// An entry as the daemon assembles it.
+class test_entry : public test_process
 {
 public:
   struct options
@@ -45,10 +61,10 @@
     std::vector<net::tcp::endpoint> mPeers;
   };
 
-  test_entry(boost::asio::io_context& aContext, platform::table_service& aTable, options aOptions)
+  test_entry(platform::table_service& aTable, options aOptions)
     : mTargets{ {} }
     , mPolicy{ placement::CreatePolicy("guaranteed", {}) }
-    , mEntries{ aContext,
+    , mEntries{ mContext,
                 { .mEntries = aOptions.mPeers,
                   .mHello = { .mProcess = aOptions.mName,
                               .mIncarnation = "1",
@@ -68,14 +84,14 @@
     mDispatcher.On<membership::hello>([](net::link_ptr const&, membership::hello const&) {});
     mServer = std::get<0>(base::Capture([&] {
       return net::link_server::Create(
-        aContext, aOptions.mEndpoint,
+        mContext, aOptions.mEndpoint,
         { .mOnFrame = [this](net::link_ptr const& aLink,
                              net::frame const& aFrame) { mDispatcher.Dispatch(aLink, aFrame); },
           .mOnClose = [this](net::link_ptr const& aLink,
                              base::error const&) { mTargets.LinkClosed(aLink); } },
-        [this](net::link_ptr const& aLink) { mLinks.push_back(aLink); });
+        {});
     }));
-    mService.emplace(aContext, aTable, mTargets, mEntries, *mPolicy, mAccess, mMetrics,
+    mService.emplace(mContext, aTable, mTargets, mEntries, *mPolicy, mAccess, mMetrics,
                      scheduler_service::options{ .mRegion = "r",
                                                  .mSelf = aOptions.mName,
                                                  .mSnapshot = [this] { return mSnapshot; },
@@ -88,16 +104,6 @@
     mService->Start();
   }
 
-  /// Cuts all links that others opened, as the end of the process would.
-  ~test_entry()
-  {
-    mServer.reset();
-    mService.reset();
-    for (auto const& link : mLinks) {
-      link->Close({ base::result_code::shutting_down, "the entry ends" });
-    }
-  }
-
   scheduler_service& Service() { return *mService; }
   net::http_router const& Router() const { return mRouter; }
   base::json Dump() const { return mDump.Collect(); }
@@ -113,17 +119,16 @@
   std::shared_ptr<configuration::configuration_snapshot const> mSnapshot;
   membership::entry_links mEntries;
   std::unique_ptr<net::link_server> mServer;
-  std::vector<net::link_ptr> mLinks;
   std::optional<scheduler_service> mService;
 };
 
 /// A worker's agent as the daemon assembles it. The runner outlives it, like a platform's does.
-class test_agent
+class test_agent : public test_process
 {
 public:
-  test_agent(boost::asio::io_context& aContext, platform::task_runner& aRunner,
-             membership::target_description aTarget, std::vector<net::tcp::endpoint> aEntries)
-    : mEntries{ aContext,
+  test_agent(platform::task_runner& aRunner, membership::target_description aTarget,
+             std::vector<net::tcp::endpoint> aEntries)
+    : mEntries{ mContext,
                 { .mEntries = std::move(aEntries),
                   .mHello = { .mProcess = aTarget.mTarget,
                               .mIncarnation = aTarget.mIncarnation,
@@ -131,20 +136,20 @@
                               .mRegion = "r",
                               .mDomain = "d" } },
                 mDispatcher }
-    , mTimer{ aContext }
+    , mTimer{ mContext }
     , mTarget{ aTarget }
   {
     auto const endpoint =
       base::Capture([&] { return net::ParseEndpoint(aTarget.mControlAddress); });
     mServer = std::get<0>(base::Capture([&] {
       return net::link_server::Create(
-        aContext, std::get<0>(endpoint),
+        mContext, std::get<0>(endpoint),
         { .mOnFrame = [this](net::link_ptr const& aLink,
                              net::frame const& aFrame) { mDispatcher.Dispatch(aLink, aFrame); },
           .mOnClose = {} },
-        [this](net::link_ptr const& aLink) { mLinks.push_back(aLink); });
+        {});
     }));
-    mService.emplace(aContext, aRunner,
+    mService.emplace(mContext, aRunner,
                      worker_service::options{ .mTarget = aTarget, .mTimings = {}, .mMayStart = [] {
                                                return base::result<void>{};
                                              } });
@@ -157,15 +162,6 @@
     Beat();
   }
 
-  ~test_agent()
-  {
-    mServer.reset();
-    mService.reset();
-    for (auto const& link : mLinks) {
-      link->Close({ base::result_code::shutting_down, "the agent ends" });
-    }
-  }
-
   worker_service& Service() { return *mService; }
 
 private:
@@ -185,7 +181,6 @@
   boost::asio::steady_timer mTimer;
   membership::target_description mTarget;
   std::unique_ptr<net::link_server> mServer;
-  std::vector<net::link_ptr> mLinks;
   std::optional<worker_service> mService;
 };
 
@@ -242,7 +237,7 @@
       }
     }
     mEntries[aIndex] = std::make_unique<test_entry>(
-      mContext, mTable,
+      mTable,
       test_entry::options{ .mName = "e" + std::to_string(aIndex) + "-" + std::to_string(++mStarts),
                            .mEndpoint = mEndpoints[aIndex],
                            .mPeers = std::move(peers) });
@@ -252,8 +247,7 @@
   {
     auto& started = mMachines[aIndex];
     started.mTarget.mIncarnation = std::to_string(++mStarts);
-    started.mAgent =
-      std::make_unique<test_agent>(mContext, *started.mRunner, started.mTarget, mEndpoints);
+    started.mAgent = std::make_unique<test_agent>(*started.mRunner, started.mTarget, mEndpoints);
   }
 
   /// Runs until a condition holds; returns how long that took, or nothing after the limit.
@@ -265,8 +259,7 @@
       if (base::Now() - began > aLimit) {
         return std::nullopt;
       }
-      mContext.restart();
-      mContext.run_for(base::milliseconds{ 10 });
+      Poll();
     }
     return base::Now() - began;
   }
@@ -274,7 +267,7 @@
   net::http_response Call(std::size_t aEntry, net::http_request aRequest)
   {
     std::optional<net::http_response> response;
-    co_spawn(mContext, mEntries[aEntry]->Router().Handle(std::move(aRequest)),
+    co_spawn(mEntries[aEntry]->Context(), mEntries[aEntry]->Router().Handle(std::move(aRequest)),
              [&](std::exception_ptr aFailure, net::http_response aResponse) {
                BOOST_REQUIRE(!aFailure);
                response = std::move(aResponse);
@@ -335,12 +328,27 @@
     return mEntries.size();
   }
 
-  boost::asio::io_context& Context() { return mContext; }
   platform::memory_table& Table() { return mTable; }
   std::vector<machine>& Machines() { return mMachines; }
   std::vector<std::unique_ptr<test_entry>>& Entries() { return mEntries; }
 
 private:
+  void Poll()
+  {
+    for (auto const& entry : mEntries) {
+      if (entry) {
+        entry->Poll();
+      }
+    }
+    for (auto const& each : mMachines) {
+      if (each.mAgent) {
+        each.mAgent->Poll();
+      }
+    }
+    mContext.restart();
+    mContext.run_for(base::milliseconds{ 2 });
+  }
+
   void Advance()
   {
     for (auto& each : mMachines) {
--- /dev/null
+++ b/source/scheduling/tests/gang_simulation.h
@@ -0,0 +1,370 @@
+#pragma once
+
+#include "scheduling/gang_coordinator.h"
+#include "scheduling/gang_member.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <ostream>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rattanpond::scheduling {
+
+enum class gang_fault
+{
+  /// The agent does nothing for a while; its runner goes on.
+  pause,
+  kill_agent,
+  /// A new agent adopts the runner's tasks.
+  restart_agent,
+  fail_task,
+  cut_link,
+  close_gate,
+  preempt,
+  cancel
+};
+
+struct gang_event
+{
+  base::milliseconds mAt{ 0 };
+  gang_fault mFault = gang_fault::pause;
+  std::size_t mWorker = 0;
+  base::milliseconds mDuration{ 0 };
+};
+
+/// Shows the events of a failed property.
+inline std::ostream& operator<<(std::ostream& aStream, gang_event const& aEvent)
+{
+  return aStream << aEvent.mAt.count() << " ms: fault " << static_cast<int>(aEvent.mFault)
+                 << " of worker " << aEvent.mWorker << " for " << aEvent.mDuration.count() << " ms";
+}
+
+/// A gang with one task on each worker over a network that delays, loses and repeats messages.
+class gang_simulation
+{
+public:
+  static constexpr base::milliseconds kStep{ 20 };
+
+  struct options
+  {
+    std::size_t mWorkers = 3;
+    std::uint32_t mSeed = 1;
+    base::milliseconds mLongestDelay{ 5 };
+    double mLoss = 0;
+    double mRepeat = 0;
+  };
+
+  gang_simulation(options aOptions, std::vector<gang_event> aEvents)
+    : mOptions{ aOptions }
+    , mEvents{ std::move(aEvents) }
+    , mRandom{ aOptions.mSeed }
+    , mWorkers(aOptions.mWorkers)
+  {
+    for (std::size_t index = 0; index < mWorkers.size(); ++index) {
+      Join(index, gang_origin::committed);
+    }
+  }
+
+  void Run(base::milliseconds aTime)
+  {
+    auto const end = mNow + aTime;
+    while (mNow < end) {
+      Step();
+    }
+  }
+
+  std::size_t Running() const
+  {
+    return static_cast<std::size_t>(std::ranges::count(mWorkers, true, &worker::mRuns));
+  }
+  /// Longest time for which a task ran although another had not run.
+  base::milliseconds LongestPartial() const { return mLongestPartial; }
+  gang_member const& Member(std::size_t aWorker) const { return *mWorkers[aWorker].mMember; }
+  bool HasStarted() const { return mFirstStart.has_value(); }
+
+private:
+  using message = std::variant<gang_beat, gang_grant, gang_break>;
+
+  struct worker
+  {
+    std::optional<gang_member> mMember;
+    base::time_point mPausedUntil{};
+    base::time_point mCutUntil{};
+    base::time_point mGateClosedUntil{};
+    bool mRuns = false;
+    bool mHasFailed = false;
+    bool mWasStarted = false;
+    base::time_point mTaskLease{};
+    base::time_point mLastRan{};
+  };
+
+  struct delivery
+  {
+    base::time_point mAt{};
+    std::size_t mTo = 0;
+    message mMessage;
+  };
+
+  static std::string Name(std::size_t aWorker) { return "w" + std::to_string(aWorker); }
+
+  void Join(std::size_t aWorker, gang_origin aOrigin)
+  {
+    gang_member::options joining{ .mGang = { "job", 1 },
+                                  .mWorker = Name(aWorker),
+                                  .mTasks = 1,
+                                  .mIsWholeGang = mWorkers.size() == 1,
+                                  .mTimings = {},
+                                  .mFirstBeat = mRandom() };
+    auto& joined = mWorkers[aWorker];
+    joined.mMember.emplace(aOrigin == gang_origin::adopted
+                             ? gang_member::Adopt(std::move(joining), { Phase(aWorker) }, mNow)
+                             : gang_member{ std::move(joining), mNow });
+    if (aWorker == 0) {
+      gang_coordinator::options coordinating{ .mGang = { "job", 1 },
+                                              .mWorkers = {},
+                                              .mTimings = {},
+                                              .mFirstRound = mRandom(),
+                                              .mOrigin = aOrigin };
+      for (std::size_t index = 0; index < mWorkers.size(); ++index) {
+        coordinating.mWorkers.push_back(Name(index));
+      }
+      mCoordinator.emplace(std::move(coordinating), mNow);
+    }
+  }
+
+  platform::task_phase Phase(std::size_t aWorker) const
+  {
+    auto const& seen = mWorkers[aWorker];
+    if (seen.mRuns) {
+      return platform::task_phase::running;
+    }
+    return seen.mHasFailed ? platform::task_phase::failed : platform::task_phase::stopped;
+  }
+
+  bool IsUp(std::size_t aWorker) const
+  {
+    return mWorkers[aWorker].mMember && mNow >= mWorkers[aWorker].mPausedUntil;
+  }
+
+  gate Gate(std::size_t aWorker) const
+  {
+    return mNow >= mWorkers[aWorker].mGateClosedUntil ? gate::open : gate::closed;
+  }
+
+  void Step()
+  {
+    mNow += kStep;
+    while (mNextEvent < mEvents.size() && mStart + mEvents[mNextEvent].mAt <= mNow) {
+      Apply(mEvents[mNextEvent++]);
+    }
+    for (auto& each : mWorkers) {
+      each.mRuns = each.mRuns && mNow < each.mTaskLease;
+    }
+    Deliver();
+    for (std::size_t index = 0; index < mWorkers.size(); ++index) {
+      if (IsUp(index)) {
+        Tick(index);
+      }
+    }
+    Measure();
+  }
+
+  void Tick(std::size_t aWorker)
+  {
+    auto& ticked = mWorkers[aWorker];
+    Carry(aWorker, ticked.mMember->Tick(Gate(aWorker), mNow));
+    if (ticked.mWasStarted) {
+      List(aWorker);
+    }
+    if (aWorker == 0 && !mCoordinator->IsDone(mNow)) {
+      Send(mCoordinator->Tick(mNow));
+    }
+    if (ticked.mMember->IsBeatDue(mNow) && !ticked.mMember->IsClosed()) {
+      Send(aWorker, 0, ticked.mMember->NextBeat(mNow));
+    }
+  }
+
+  void List(std::size_t aWorker)
+  {
+    auto& listed = mWorkers[aWorker];
+    Carry(aWorker, listed.mMember->Observed(0, Phase(aWorker), mNow, mNow));
+    listed.mMember->Listed(mNow);
+  }
+
+  void Apply(gang_event const& aEvent)
+  {
+    auto& hit = mWorkers[aEvent.mWorker % mWorkers.size()];
+    auto const index = aEvent.mWorker % mWorkers.size();
+    switch (aEvent.mFault) {
+      case gang_fault::pause:
+        hit.mPausedUntil = mNow + aEvent.mDuration;
+        break;
+      case gang_fault::kill_agent:
+        hit.mMember.reset();
+        break;
+      case gang_fault::restart_agent:
+        if (hit.mWasStarted) {
+          Join(index, gang_origin::adopted);
+        }
+        break;
+      case gang_fault::fail_task:
+        hit.mHasFailed = hit.mHasFailed || hit.mRuns;
+        hit.mRuns = false;
+        break;
+      case gang_fault::cut_link:
+        hit.mCutUntil = mNow + aEvent.mDuration;
+        break;
+      case gang_fault::close_gate:
+        hit.mGateClosedUntil = mNow + aEvent.mDuration;
+        break;
+      case gang_fault::preempt:
+        for (std::size_t each = 0; each < mWorkers.size(); ++each) {
+          if (IsUp(each)) {
+            Carry(each, mWorkers[each].mMember->Preempt(aEvent.mDuration, "preempted", mNow));
+          }
+        }
+        break;
+      case gang_fault::cancel:
+        if (IsUp(index)) {
+          Carry(index, hit.mMember->Stop("cancelled", mNow));
+        }
+        break;
+    }
+  }
+
+  void Carry(std::size_t aWorker, gang_member::actions const& aActions)
+  {
+    auto& carrier = mWorkers[aWorker];
+    for (auto const& action : aActions) {
+      switch (action.mOrder) {
+        case member_order::start:
+          carrier.mRuns = true;
+          carrier.mWasStarted = true;
+          carrier.mTaskLease = mNow + action.mLease;
+          mFirstStart = mFirstStart.value_or(mNow);
+          Carry(aWorker, carrier.mMember->Started(0, base::done{}, mNow - kStep));
+          break;
+        case member_order::renew:
+          carrier.mTaskLease = mNow + action.mLease;
+          break;
+        case member_order::checkpoint:
+          Carry(aWorker, carrier.mMember->Checkpointed(0, std::string{ "key" }, mNow));
+          break;
+        case member_order::stop:
+        case member_order::force_stop:
+          carrier.mRuns = false;
+          break;
+      }
+    }
+  }
+
+  bool Happens(double aProbability)
+  {
+    return std::uniform_real_distribution<double>{ 0, 1 }(mRandom) < aProbability;
+  }
+
+  void Send(std::size_t aFrom, std::size_t aTo, message aMessage)
+  {
+    auto const isLocal = aFrom == aTo;
+    auto const copies = !isLocal && Happens(mOptions.mRepeat) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (!isLocal && Happens(mOptions.mLoss)) {
+        continue;
+      }
+      std::uniform_int_distribution<std::int64_t> delay{ 0, mOptions.mLongestDelay.count() };
+      mDeliveries.push_back({ .mAt = mNow + base::milliseconds{ isLocal ? 0 : delay(mRandom) },
+                              .mTo = aTo,
+                              .mMessage = aMessage });
+    }
+  }
+
+  void Send(std::vector<gang_coordinator::order> const& aOrders)
+  {
+    for (auto const& order : aOrders) {
+      std::visit(
+        [&](auto const& aMessage) {
+          Send(0, std::stoul(order.mWorker.substr(1)), message{ aMessage });
+        },
+        order.mMessage);
+    }
+  }
+
+  void Deliver()
+  {
+    // A paused agent reads its messages when it resumes, however old they are.
+    for (std::size_t index = 0; index < mDeliveries.size(); ++index) {
+      auto const current = mDeliveries[index];
+      if (current.mAt > mNow || mNow < mWorkers[current.mTo].mPausedUntil) {
+        continue;
+      }
+      mDeliveries.erase(mDeliveries.begin() + static_cast<std::ptrdiff_t>(index--));
+      if (mWorkers[current.mTo].mMember) {
+        std::visit([&](auto const& aMessage) { Receive(current.mTo, aMessage); }, current.mMessage);
+      }
+    }
+  }
+
+  bool IsCut(std::size_t aWorker) const { return mNow < mWorkers[aWorker].mCutUntil; }
+
+  void Receive(std::size_t, gang_beat const& aBeat)
+  {
+    if (!IsCut(std::stoul(aBeat.mWorker.substr(1)))) {
+      Send(mCoordinator->Beat(aBeat, mNow));
+    }
+  }
+
+  void Receive(std::size_t aTo, gang_grant const& aGrant)
+  {
+    if (IsCut(aTo)) {
+      return;
+    }
+    auto& receiver = mWorkers[aTo];
+    Carry(aTo, receiver.mMember->Grant(aGrant, Gate(aTo), mNow));
+    if (mLastRounds[aTo] != aGrant.mRound) {
+      mLastRounds[aTo] = aGrant.mRound;
+      if (receiver.mMember->AnswersFromList()) {
+        List(aTo);
+      }
+      Send(aTo, 0, receiver.mMember->NextBeat(mNow));
+    }
+  }
+
+  void Receive(std::size_t aTo, gang_break const& aBreak)
+  {
+    if (!IsCut(aTo)) {
+      Carry(aTo, mWorkers[aTo].mMember->Break(aBreak, mNow));
+    }
+  }
+
+  void Measure()
+  {
+    for (auto& each : mWorkers) {
+      each.mLastRan = each.mRuns ? mNow : each.mLastRan;
+    }
+    if (Running() == 0 || Running() == mWorkers.size()) {
+      return;
+    }
+    for (auto const& each : mWorkers) {
+      mLongestPartial = std::max(mLongestPartial, mNow - std::max(each.mLastRan, *mFirstStart));
+    }
+  }
+
+  options mOptions;
+  std::vector<gang_event> mEvents;
+  std::mt19937 mRandom;
+  std::vector<worker> mWorkers;
+  std::optional<gang_coordinator> mCoordinator;
+  std::vector<delivery> mDeliveries;
+  std::map<std::size_t, std::uint64_t> mLastRounds;
+  base::time_point mStart{ base::milliseconds{ 1'000'000 } };
+  base::time_point mNow = mStart;
+  std::size_t mNextEvent = 0;
+  std::optional<base::time_point> mFirstStart;
+  base::milliseconds mLongestPartial{ 0 };
+};
+
+} // namespace rattanpond::scheduling
--- a/source/scheduling/tests/loopback_test.cpp
+++ b/source/scheduling/tests/loopback_test.cpp
@@ -63,6 +63,63 @@
                                  milliseconds{ 5000 }));
 }
 
+// Guards against running gangs that stop, or jobs that start twice, when the scheduler is replaced,
+// and against a submission through another entry that no scheduler learns of.
+BOOST_AUTO_TEST_CASE(GangSurvivesTheLossOfItsScheduler)
+{
+  test_cluster cluster{ 2, 1 };
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() < 2; }, milliseconds{ 5000 }));
+  auto const holder = cluster.Holder();
+  auto const other = 1 - holder;
+  auto const id = IdOf(cluster.Submit(other, "key", Specification(2, 600'000)));
+  BOOST_REQUIRE(
+    cluster.RunUntil([&] { return cluster.JobState(id) == "running"; }, milliseconds{ 10'000 }));
+  BOOST_TEST(cluster.Submit(holder, "key", Specification(2, 600'000)).mStatus == 201U);
+  BOOST_TEST(cluster.Submit(holder, "key", Specification(3, 600'000)).mStatus == 422U);
+  BOOST_TEST(cluster.Ask(other, "GET", id, "blue").mStatus == 200U);
+  BOOST_TEST(cluster.Ask(other, "GET", id, "green").mStatus == 403U);
+  BOOST_TEST(cluster.Ask(holder, "DELETE", id, "green").mStatus == 403U);
+
+  cluster.Entries()[holder].reset();
+  auto const taken =
+    cluster.RunUntil([&] { return cluster.Holder() == other; }, milliseconds{ 12'000 });
+  BOOST_REQUIRE(taken);
+  BOOST_TEST_MESSAGE("role taken over after " << taken->count() << " ms");
+  cluster.RunUntil([] { return false; }, milliseconds{ 3000 });
+  BOOST_TEST(cluster.Running(0) == 2U);
+  BOOST_TEST(cluster.Machines()[0].mRunner->Starts() == 2U);
+  BOOST_TEST(cluster.Ask(other, "DELETE", id).mStatus == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Running(0) == 0; }, milliseconds{ 5000 }));
+  BOOST_TEST(cluster.JobState(id) == "cancelled");
+}
+
+// Guards against stops that wait for the store, against accepted jobs that are lost with it, and
+// against a refused job that runs all the same.
+BOOST_AUTO_TEST_CASE(StoreOutage)
+{
+  test_cluster cluster{ 1, 1 };
+  auto const first = IdOf(cluster.Submit(0, "first", Specification(2, 600'000)));
+  BOOST_REQUIRE(
+    cluster.RunUntil([&] { return cluster.JobState(first) == "running"; }, milliseconds{ 10'000 }));
+  cluster.Table().Inject({ .mAvailability = platform::availability::down });
+  auto const accepted = cluster.Submit(0, "second", Specification(2, 600'000));
+  BOOST_TEST(accepted.mStatus == 201U);
+  BOOST_TEST(cluster.Submit(0, "third", Specification(2, 600'000)).mStatus == 503U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Running(0) == 4; }, milliseconds{ 5000 }));
+  BOOST_TEST(cluster.Ask(0, "DELETE", first).mStatus == 202U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Running(0) == 2; }, milliseconds{ 2000 }));
+  cluster.RunUntil([] { return false; }, milliseconds{ 1500 });
+  BOOST_TEST(cluster.Running(0) == 2U);
+  cluster.Table().Inject({});
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.JobState(IdOf(accepted)) == "running"; },
+                                 milliseconds{ 5000 }));
+  BOOST_TEST(cluster.JobState(first) == "cancelled");
+  auto const third = cluster.Submit(0, "third", Specification(2, 600'000));
+  BOOST_TEST(third.mStatus == 201U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.JobState(IdOf(third)) == "running"; },
+                                 milliseconds{ 5000 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/worker_service.cpp
+++ b/source/scheduling/worker_service.cpp
@@ -222,7 +222,11 @@
   Apply(*found, found->mMember->Grant(aMessage, Gate(), base::Now()));
   if (found->mLastRound != aMessage.mRound) {
     found->mLastRound = aMessage.mRound;
-    SendBeat(*found);
+    if (found->mMember->AnswersFromList()) {
+      mDriver.Poll();
+    } else {
+      SendBeat(*found);
+    }
   }
 }
 
@@ -301,6 +305,10 @@
     }
     Apply(aGang, aGang.mMember->Observed(index, phase, aAskedAt, base::Now()));
   }
+  aGang.mMember->Listed(aAskedAt);
+  if (aGang.mMember->IsBeatDue(base::Now())) {
+    SendBeat(aGang);
+  }
 }
 
 void worker_service::Adopt(std::vector<platform::runner_task> const& aTasks)
