--- a/source/configuration/tests/examples_test.cpp
+++ b/source/configuration/tests/examples_test.cpp
@@ -49,7 +49,8 @@
   std::pair<std::string, std::uint32_t> const kExamples[] = { { "tulay-kargada", 130 },
                                                               { "arla", 60 } };
   for (auto const& [name, cores] : kExamples) {
-    auto const loaded = base::Capture([&] { return LoadDeclarations(ExampleDirectory(name)); });
+    auto const directory = ExampleDirectory(name);
+    auto const loaded = base::Capture([&] { return LoadDeclarations(directory); });
     BOOST_REQUIRE(base::Succeeded(loaded));
     auto const& declared = std::get<0>(loaded);
     BOOST_TEST(declared.mContracts.size() == 4U);
