Placement: Order shortest first with a waiting bound and one reservation

Cause: large jobs, which decide the p95, waited behind the response-ratio order; two first-come reservations kept too many accelerators idle; a worker stayed quarantined for as long as its probe ran. Change: shortest expected job first until a job has waited six of its run times; then it is overdue, goes first, and the worst large one holds a reservation. Borrowing avoids promised accelerators; a workspace breaks its smaller shapes first. A probe that runs for two minutes readmits its worker; the smallest job is the probe.

--- a/source/placement/guaranteed_decision.cpp
+++ b/source/placement/guaranteed_decision.cpp
@@ -1,6 +1,7 @@
 #include "placement/guaranteed_decision.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace rattanpond::placement {
 
@@ -10,6 +11,19 @@
 constexpr base::milliseconds kUrgentNotice{ 4'000 };
 /// Left of the reclaim bound for the stop to be reported and the new gang to be committed.
 constexpr base::milliseconds kReclaimMargin{ 2'000 };
+/// Borrowing an accelerator that is promised to a workspace is likely to end in a preemption.
+constexpr double kPromisedWeight = 100;
+/// Breaking a larger shape of the workspace itself costs this much per accelerator of the rack.
+constexpr double kOwnShapeWeight = 200;
+/// A job from this size on gets a reservation.
+constexpr std::int64_t kLargeJob = 8;
+/// Each reservation keeps accelerators idle, so only the job that waited longest for its length has
+/// one.
+constexpr std::size_t kReservations = 1;
+/// Shortest first is best for the mean until a job has waited for this many of its run times.
+constexpr double kLongestWaitingRatio = 6;
+/// Estimates change as gangs end, but a place that changes all the time never becomes free.
+constexpr base::milliseconds kReplanAfter{ 60'000 };
 /// A workspace that waits this long is put before one that borrows everything.
 constexpr double kAgeingMilliseconds = 3'600'000;
 
@@ -26,13 +40,13 @@
   return usable;
 }
 
-/// Waiting and running time over running time: short jobs go first, but every job's turn comes.
-double ResponseRatio(waiting_job const& aJob, run_time_estimator const& aEstimator,
-                     base::time_point aNow)
+/// Waiting time over run time; jobs with a high ratio have waited too long for their length.
+double WaitingRatio(waiting_job const& aJob, run_time_estimator const& aEstimator,
+                    base::time_point aNow)
 {
-  auto const run = static_cast<double>(
-    std::max<std::int64_t>(aEstimator.Expected(aJob.mWorkspace, aJob.mDeclaredLeft).count(), 1));
-  return (static_cast<double>((aNow - aJob.mSubmitted).count()) + run) / run;
+  auto const run = aEstimator.Expected(aJob.mWorkspace, aJob.mDeclaredLeft);
+  return static_cast<double>((aNow - aJob.mSubmitted).count()) /
+         static_cast<double>(std::max<std::int64_t>(run.count(), 1));
 }
 
 double TotalLoss(cluster_view const& aView, std::vector<std::uint32_t> const& aVictims,
@@ -87,9 +101,11 @@
   RenewClaims(tenure::borrowed);
   StartUrgent();
   ProbeWorkers();
+  Reserve();
   Borrow();
   StartReadyClaims();
   mMemory.mClaims = std::move(mClaims);
+  mMemory.mReservations = std::move(mReservations);
   return std::move(mDecisions);
 }
 
@@ -135,6 +151,12 @@
 
 void guaranteed_decision::MarkProtected()
 {
+  mPromised.assign(mMemory.mTopology.size(), 0);
+  for (auto const& shape : mMemory.mBinding.Shapes()) {
+    for (auto const& part : shape.mParts) {
+      mPromised[part.mWorker] += part.mTasks;
+    }
+  }
   std::vector<gang_view*> guaranteed;
   for (auto& gang : mView.Gangs()) {
     if (gang.mGang->mTenure == tenure::guaranteed) {
@@ -154,6 +176,9 @@
     if (ledger.CoversUnused(parts, gang->mTask)) {
       ledger.UseGuarantee(parts, gang->mTask);
       gang->mIsProtected = true;
+      for (auto const& part : parts) {
+        mPromised[part.mWorker] -= gang->mTask.mAccelerators * part.mTasks;
+      }
     }
   }
   for (auto const& gang : mView.Gangs()) {
@@ -196,20 +221,40 @@
     }
   }
   for (auto& [name, ledger] : mLedgers) {
-    std::vector<std::pair<double, waiting_job const*>> order;
-    for (auto const* const job : ledger.mJobs) {
-      order.emplace_back(ResponseRatio(*job, mMemory.mEstimator, mNow), job);
-    }
-    std::stable_sort(order.begin(), order.end(), [](auto const& aLeft, auto const& aRight) {
-      return aLeft.second->mUrgency != aRight.second->mUrgency
-               ? aLeft.second->mUrgency < aRight.second->mUrgency
-               : aLeft.first > aRight.first;
-    });
-    std::transform(order.begin(), order.end(), ledger.mJobs.begin(),
-                   [](auto const& aEntry) { return aEntry.second; });
+    OrderJobs(ledger);
   }
 }
 
+void guaranteed_decision::OrderJobs(workspace_ledger& aLedger) const
+{
+  struct entry
+  {
+    waiting_job const* mJob;
+    bool mIsOverdue;
+    std::int64_t mKey;
+  };
+  std::vector<entry> order;
+  for (auto const* const job : aLedger.mJobs) {
+    auto const isOverdue = IsOverdue(*job);
+    order.push_back(
+      { job, isOverdue,
+        isOverdue ? job->mSubmitted.time_since_epoch().count()
+                  : mMemory.mEstimator.Expected(job->mWorkspace, job->mDeclaredLeft).count() });
+  }
+  std::stable_sort(order.begin(), order.end(), [](entry const& aLeft, entry const& aRight) {
+    return std::tuple{ aLeft.mJob->mUrgency, !aLeft.mIsOverdue, aLeft.mKey } <
+           std::tuple{ aRight.mJob->mUrgency, !aRight.mIsOverdue, aRight.mKey };
+  });
+  std::transform(order.begin(), order.end(), aLedger.mJobs.begin(),
+                 [](entry const& aEntry) { return aEntry.mJob; });
+}
+
+bool guaranteed_decision::IsOverdue(waiting_job const& aJob) const
+{
+  return mNow - aJob.mSubmitted >= mMemory.mOptions.mReservationAfter &&
+         WaitingRatio(aJob, mMemory.mEstimator, mNow) >= kLongestWaitingRatio;
+}
+
 void guaranteed_decision::LeaveUnusableWorkers()
 {
   struct leaving
@@ -305,6 +350,9 @@
   aLedger.mAccelerators += Accelerators(aJob.mShape);
   if (aTenure == tenure::guaranteed) {
     aLedger.UseGuarantee(aPlan.mParts, task);
+    for (auto const& part : aPlan.mParts) {
+      mPromised[part.mWorker] -= task.mAccelerators * part.mTasks;
+    }
   } else {
     aLedger.mBorrowed += task * aJob.mShape.mTasks;
   }
@@ -361,6 +409,31 @@
   return true;
 }
 
+double guaranteed_decision::BorrowScore(placed_parts const& aParts,
+                                        std::int64_t aAcceleratorsPerTask) const
+{
+  double promised = 0;
+  for (auto const& part : aParts) {
+    auto const left = mView.Free()[part.mWorker].mAccelerators - aAcceleratorsPerTask * part.mTasks;
+    promised += static_cast<double>(std::max<std::int64_t>(mPromised[part.mWorker] - left, 0));
+  }
+  return kPromisedWeight * promised + mScore(aParts, aAcceleratorsPerTask);
+}
+
+double guaranteed_decision::GuaranteeScore(placed_parts const& aParts,
+                                           workspace_ledger const& aLedger) const
+{
+  auto const& topology = mMemory.mTopology;
+  std::int64_t unused = 0;
+  for (auto const& [worker, amount] : aLedger.mUnused) {
+    if (topology.Group(adjacency::same_rack, worker) ==
+        topology.Group(adjacency::same_rack, aParts.front().mWorker)) {
+      unused += amount.mAccelerators;
+    }
+  }
+  return kOwnShapeWeight * static_cast<double>(unused);
+}
+
 std::optional<guaranteed_decision::plan> guaranteed_decision::PlanGuaranteed(
   waiting_job const& aJob, workspace_ledger const& aLedger) const
 {
@@ -370,7 +443,8 @@
     reach[worker] = amount;
     workers.push_back(worker);
   }
-  return CheapestPlan(aJob, reach, workers, victim_rule::any_borrowed);
+  return CheapestPlan(aJob, reach, workers, victim_rule::any_borrowed,
+                      [&](placed_parts const& aParts) { return GuaranteeScore(aParts, aLedger); });
 }
 
 std::optional<guaranteed_decision::plan> guaranteed_decision::PlanUrgent(
@@ -390,12 +464,15 @@
       workers.push_back(index);
     }
   }
-  return CheapestPlan(aJob, reach, workers, victim_rule::not_urgent);
+  auto const accelerators = static_cast<std::int64_t>(aJob.mShape.mTask.mAccelerators);
+  return CheapestPlan(
+    aJob, reach, workers, victim_rule::not_urgent,
+    [&](placed_parts const& aParts) { return BorrowScore(aParts, accelerators); });
 }
 
 std::optional<guaranteed_decision::plan> guaranteed_decision::CheapestPlan(
   waiting_job const& aJob, std::span<resources const> aReach,
-  std::vector<std::uint32_t> const& aWorkers, victim_rule aRule) const
+  std::vector<std::uint32_t> const& aWorkers, victim_rule aRule, fit_score const& aScore) const
 {
   auto const task = Need(aJob.mShape.mTask);
   std::vector<fit_candidate> candidates;
@@ -423,7 +500,7 @@
       return std::numeric_limits<double>::max();
     }
     auto const waits = CoversAll(mView.Free(), parts, task) ? 0.0 : 1e4;
-    auto const loss = TotalLoss(mView, *victims, mNow) + waits + mScore(parts, task.mAccelerators);
+    auto const loss = TotalLoss(mView, *victims, mNow) + waits + aScore(parts);
     if (!best || loss < bestLoss) {
       best = plan{ std::move(parts), std::move(*victims) };
       bestLoss = loss;
@@ -470,10 +547,16 @@
   if (!aLedger.IsWithinQuota(Accelerators(aJob.mShape))) {
     return false;
   }
-  auto const candidates = Candidates(mMemory.mTopology, mView.Free(), aJob.mShape);
+  auto const end = mNow + mMemory.mEstimator.Cautious(aJob.mWorkspace, aJob.mDeclaredLeft);
+  auto const isUrgent = aJob.mUrgency == urgency::urgent;
+  auto const free = isUrgent || mReservations.empty()
+                      ? std::vector<resources>{ mView.Free().begin(), mView.Free().end() }
+                      : FreeBeside(mView.Free(), mReservations, end);
+  auto const candidates = Candidates(mMemory.mTopology, free, aJob.mShape);
   auto const accelerators = static_cast<std::int64_t>(aJob.mShape.mTask.mAccelerators);
-  auto parts = FitGang(mMemory.mTopology, candidates, aJob.mShape,
-                       [&](placed_parts const& aFound) { return mScore(aFound, accelerators); });
+  auto parts = FitGang(mMemory.mTopology, candidates, aJob.mShape, [&](placed_parts const& aFound) {
+    return BorrowScore(aFound, accelerators);
+  });
   if (!parts) {
     return false;
   }
@@ -481,6 +564,64 @@
   return true;
 }
 
+void guaranteed_decision::Reserve()
+{
+  RenewReservations();
+  AddReservations();
+}
+
+void guaranteed_decision::RenewReservations()
+{
+  for (auto const& entry : mMemory.mReservations) {
+    auto const waiting = mState.mWaiting.find(entry.mJob);
+    if (waiting == mState.mWaiting.end() || !mShapeOfJob.contains(entry.mJob) ||
+        IsClaimed(entry.mJob)) {
+      continue;
+    }
+    auto const& job = waiting->second;
+    if (BorrowFree(job, Ledger(job.mWorkspace))) {
+      continue;
+    }
+    if (mNow < entry.mPlanned + kReplanAfter &&
+        CoversAll(mView.Usable(), entry.mParts, entry.mTask)) {
+      mReservations.push_back(entry);
+    }
+  }
+}
+
+void guaranteed_decision::AddReservations()
+{
+  std::vector<waiting_job const*> large;
+  for (auto const& [name, ledger] : mLedgers) {
+    for (auto const* const job : ledger.mJobs) {
+      if (Accelerators(job->mShape) >= kLargeJob && IsOverdue(*job) &&
+          ledger.IsWithinQuota(Accelerators(job->mShape))) {
+        large.push_back(job);
+      }
+    }
+  }
+  std::stable_sort(large.begin(), large.end(), [&](auto const* aLeft, auto const* aRight) {
+    return WaitingRatio(*aLeft, mMemory.mEstimator, mNow) >
+           WaitingRatio(*aRight, mMemory.mEstimator, mNow);
+  });
+  for (auto const* const job : large) {
+    if (mReservations.size() >= kReservations) {
+      return;
+    }
+    auto const isHeld = std::any_of(mReservations.begin(), mReservations.end(),
+                                    [&](auto const& aEntry) { return aEntry.mJob == job->mJob; });
+    if (isHeld || IsClaimed(job->mJob) || BorrowFree(*job, Ledger(job->mWorkspace))) {
+      continue;
+    }
+    auto planned =
+      PlanReservation(mMemory.mTopology, mView, mMemory.mEstimator, *job,
+                      FreeBeside(mView.Free(), mReservations, base::time_point::max()), mNow);
+    if (planned) {
+      mReservations.push_back(std::move(*planned));
+    }
+  }
+}
+
 void guaranteed_decision::Borrow()
 {
   std::vector<bool> hasFailed(mMemory.mShapes.size(), false);
@@ -507,7 +648,8 @@
     auto const& job = *next->mJobs[next->mNext++];
     auto const shape = mShapeOfJob.at(job.mJob);
     if (!hasFailed[shape] && !IsClaimed(job.mJob) && !BorrowFree(job, *next)) {
-      hasFailed[shape] = next->IsWithinQuota(Accelerators(job.mShape));
+      // With reservations, a shorter job of the same shape may still fit.
+      hasFailed[shape] = mReservations.empty() && next->IsWithinQuota(Accelerators(job.mShape));
     }
   }
 }
@@ -521,20 +663,29 @@
         !mView.GangsOn(index).empty()) {
       continue;
     }
+    // The smallest job has least to lose.
+    waiting_job const* probe = nullptr;
     for (auto const& [name, job] : mState.mWaiting) {
-      auto& ledger = Ledger(job.mWorkspace);
-      if (job.mShape.mTasks == 1 && job.mUrgency != urgency::urgent && !IsClaimed(name) &&
-          mShapeOfJob.contains(name) && Admits(worker, job.mShape) &&
-          Capacity(worker).Covers(Need(job.mShape.mTask)) &&
-          ledger.IsWithinQuota(Accelerators(job.mShape))) {
-        mPhysical[index] = Capacity(worker);
-        AddClaim(job, ledger, { { { index, 1 } }, {} }, tenure::borrowed);
-        break;
+      if (MayProbe(job, worker) &&
+          (!probe || Accelerators(job.mShape) < Accelerators(probe->mShape))) {
+        probe = &job;
       }
     }
+    if (probe) {
+      mPhysical[index] = Capacity(worker);
+      AddClaim(*probe, Ledger(probe->mWorkspace), { { { index, 1 } }, {} }, tenure::borrowed);
+    }
   }
 }
 
+bool guaranteed_decision::MayProbe(waiting_job const& aJob, worker const& aWorker)
+{
+  return aJob.mShape.mTasks == 1 && aJob.mUrgency != urgency::urgent && !IsClaimed(aJob.mJob) &&
+         mShapeOfJob.contains(aJob.mJob) && Admits(aWorker, aJob.mShape) &&
+         Capacity(aWorker).Covers(Need(aJob.mShape.mTask)) &&
+         Ledger(aJob.mWorkspace).IsWithinQuota(Accelerators(aJob.mShape));
+}
+
 void guaranteed_decision::StartReadyClaims()
 {
   std::vector<claim> waiting;
--- a/source/placement/guaranteed_decision.h
+++ b/source/placement/guaranteed_decision.h
@@ -32,6 +32,8 @@
   void OpenLedgers();
   void MarkProtected();
   void QueueJobs();
+  void OrderJobs(workspace_ledger& aLedger) const;
+  bool IsOverdue(waiting_job const& aJob) const;
   bool ParkIfHopeless(waiting_job const& aJob, std::uint32_t aShape);
   void LeaveUnusableWorkers();
 
@@ -41,17 +43,23 @@
   bool ClaimGuarantee(waiting_job const& aJob, workspace_ledger& aLedger);
   void StartUrgent();
   bool PreemptForUrgent(waiting_job const& aJob, workspace_ledger& aLedger);
+  void Reserve();
+  void RenewReservations();
+  void AddReservations();
   void Borrow();
   bool BorrowFree(waiting_job const& aJob, workspace_ledger& aLedger);
   void ProbeWorkers();
+  bool MayProbe(waiting_job const& aJob, worker const& aWorker);
   void StartReadyClaims();
 
   std::optional<plan> PlanGuaranteed(waiting_job const& aJob,
                                      workspace_ledger const& aLedger) const;
+  double BorrowScore(placed_parts const& aParts, std::int64_t aAcceleratorsPerTask) const;
+  double GuaranteeScore(placed_parts const& aParts, workspace_ledger const& aLedger) const;
   std::optional<plan> PlanUrgent(waiting_job const& aJob) const;
   std::optional<plan> CheapestPlan(waiting_job const& aJob, std::span<resources const> aReach,
-                                   std::vector<std::uint32_t> const& aWorkers,
-                                   victim_rule aRule) const;
+                                   std::vector<std::uint32_t> const& aWorkers, victim_rule aRule,
+                                   fit_score const& aScore) const;
   void AddClaim(waiting_job const& aJob, workspace_ledger& aLedger, plan aPlan, tenure aTenure);
   void StopForClaim(std::vector<std::uint32_t> const& aVictims, placed_parts const& aParts,
                     waiting_job const& aJob, base::milliseconds aNotice);
@@ -69,8 +77,11 @@
   /// Free accelerators without regard to claims.
   std::vector<resources> mPhysical;
   resources mAll;
+  /// Accelerators per worker that are bound and held by no guaranteed gang.
+  std::vector<std::int64_t> mPromised;
   std::map<std::string, workspace_ledger> mLedgers;
   std::vector<claim> mClaims;
+  std::vector<reservation> mReservations;
   std::map<std::string, std::uint32_t> mShapeOfJob;
   decisions mDecisions;
 };
--- a/source/placement/guaranteed_policy.cpp
+++ b/source/placement/guaranteed_policy.cpp
@@ -30,10 +30,23 @@
 decisions guaranteed_policy::Decide(cluster_state const& aState, base::time_point aNow)
 {
   RefreshTopology(aState);
+  ReadmitWorkers(aState, aNow);
   mMemory.mHealth.Refresh(aState.mWorkers.size(), aNow);
   return guaranteed_decision{ mMemory, aState, aNow }.Run();
 }
 
+void guaranteed_policy::ReadmitWorkers(cluster_state const& aState, base::time_point aNow)
+{
+  if (mMemory.mHealth.Quarantined().empty()) {
+    return;
+  }
+  for (auto const& [name, gang] : aState.mRunning) {
+    for (auto const& part : gang.mParts) {
+      mMemory.mHealth.Runs(part.mWorker, gang.mStarted, aNow);
+    }
+  }
+}
+
 void guaranteed_policy::Ended(running_gang const& aGang, gang_outcome aOutcome,
                               std::string const& aFailedWorker, base::time_point aNow)
 {
@@ -59,6 +72,8 @@
     claim.mParts = Rebase(mMemory.mTopology, fresh, claim.mParts);
   }
   std::erase_if(mMemory.mClaims, [](claim const& aClaim) { return aClaim.mParts.empty(); });
+  // Planned again in the next decision.
+  mMemory.mReservations.clear();
   mMemory.mTopology = std::move(fresh);
   mMemory.mShapes.Reset();
 }
--- a/source/placement/guaranteed_policy.h
+++ b/source/placement/guaranteed_policy.h
@@ -18,6 +18,7 @@
 
 private:
   void RefreshTopology(cluster_state const& aState);
+  void ReadmitWorkers(cluster_state const& aState, base::time_point aNow);
 
   policy_memory mMemory;
 };
--- a/source/placement/policy_memory.h
+++ b/source/placement/policy_memory.h
@@ -2,6 +2,7 @@
 
 #include "placement/guarantee_binding.h"
 #include "placement/policy.h"
+#include "placement/reservation.h"
 #include "placement/run_time_estimator.h"
 #include "placement/shape_table.h"
 #include "placement/topology.h"
@@ -31,6 +32,7 @@
   guarantee_binding mBinding;
   shape_table mShapes;
   std::vector<claim> mClaims;
+  std::vector<reservation> mReservations;
 };
 
 } // namespace rattanpond::placement
--- a/source/placement/worker_health.cpp
+++ b/source/placement/worker_health.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t kFailuresInARow = 3;
 constexpr std::size_t kFailedWorkersOfABadJob = 3;
 constexpr double kMaximumShare = 0.2;
+/// A worker that fails everything does so within this time of a task's start.
+constexpr base::milliseconds kProbeSurvives{ 120'000 };
 constexpr base::milliseconds kFirstProbe{ 60'000 };
 /// Probes of a worker that stays bad become rarer up to this.
 constexpr base::milliseconds kLastProbe{ 1'800'000 };
@@ -33,6 +35,17 @@
   mRecords.erase(aWorker);
 }
 
+void worker_health::Runs(std::string const& aWorker, base::time_point aStarted,
+                         base::time_point aNow)
+{
+  auto const found = mRecords.find(aWorker);
+  // Tasks from before the quarantine prove nothing about new ones.
+  if (found != mRecords.end() && found->second.mIsQuarantined && aStarted > found->second.mSince &&
+      aNow - aStarted >= kProbeSurvives) {
+    Succeeded(aWorker);
+  }
+}
+
 void worker_health::Failed(std::string const& aJob, std::string const& aWorker,
                            base::time_point aNow)
 {
@@ -57,6 +70,7 @@
     if (!entry.mIsQuarantined && failures >= static_cast<std::ptrdiff_t>(kFailuresInARow) &&
         quarantined < limit) {
       entry.mIsQuarantined = true;
+      entry.mSince = aNow;
       entry.mBackoff = kFirstProbe;
       entry.mProbeAt = aNow + entry.mBackoff;
       ++quarantined;
--- a/source/placement/worker_health.h
+++ b/source/placement/worker_health.h
@@ -25,6 +25,9 @@
   void Ended(running_gang const& aGang, gang_outcome aOutcome, std::string const& aFailedWorker,
              base::time_point aNow);
 
+  /// A task that started at aStarted still runs; as a probe it shows that the worker is well.
+  void Runs(std::string const& aWorker, base::time_point aStarted, base::time_point aNow);
+
   /// aWorkers bounds how many may be in quarantine at once.
   void Refresh(std::size_t aWorkers, base::time_point aNow);
 
@@ -41,6 +44,7 @@
     /// Different jobs that failed since the last success.
     std::set<std::string> mFailedJobs;
     bool mIsQuarantined = false;
+    base::time_point mSince{};
     base::time_point mProbeAt{};
     base::milliseconds mBackoff{ 0 };
   };
