--- a/tests/black_box_test.sh
+++ b/tests/black_box_test.sh
@@ -71,7 +71,7 @@
 declared_run_time_ms = $6
 command = { work_ms = $6 }
 JOB
-  ctl job submit "$folder/job-$1.toml" --key "$1" --json | jq -r .id
+  ctl job submit "$folder/job-$1.toml" --key "$1" --json | jq -er .id
 }
 
 request() { # entry number, key, body, idempotent: prints "<http status> <outcome> <code>"
@@ -95,7 +95,7 @@
 holder() { # number of the entry that holds the scheduler role, or nothing
   local i
   for i in 1 2 3; do
-    if operator_get "$i" /v1/state | jq -e '.scheduling.role != "candidate"' > /dev/null; then
+    if operator_get "$i" /v1/state | jq -e '.scheduler.role | . == "holder" or . == "provisional"' > /dev/null; then
       echo "$i"
       return
     fi
