--- a/source/bench/load_generator.cpp
+++ b/source/bench/load_generator.cpp
@@ -35,6 +35,7 @@
   void Join() { mThread.join(); }
   std::vector<std::uint32_t> const& Times() const { return mTimes; }
   std::uint64_t Failures() const { return mFailures; }
+  std::uint64_t Total() const { return mTotal; }
 
 private:
   asio::awaitable<void> Loop()
@@ -44,6 +45,7 @@
       auto const begin = now;
       auto const reply = co_await mClient.Send(mOptions.mRequest, base::milliseconds{ 5000 });
       now = clock::now();
+      ++mTotal;
       if (!base::Succeeded(reply) || std::get<0>(reply).mStatus != 200 ||
           std::get<0>(reply).mBody != mOptions.mRequest.mBody) {
         ++mFailures;
@@ -61,6 +63,7 @@
   net::http_client mClient;
   std::vector<std::uint32_t> mTimes;
   std::uint64_t mFailures = 0;
+  std::uint64_t mTotal = 0;
   std::thread mThread;
 };
 
@@ -84,6 +87,7 @@
     generator->Join();
     times.insert(times.end(), generator->Times().begin(), generator->Times().end());
     result.mFailures += generator->Failures();
+    result.mTotal += generator->Total();
   }
   std::ranges::sort(times);
   auto const quantile = [&](double aQuantile) {
--- a/source/bench/load_generator.h
+++ b/source/bench/load_generator.h
@@ -12,6 +12,8 @@
   double mP50Microseconds = 0;
   double mP99Microseconds = 0;
   std::uint64_t mFailures = 0;
+  /// All requests, also those of the warm-up.
+  std::uint64_t mTotal = 0;
 };
 
 struct load_options
--- a/source/bench/path_bench.cpp
+++ b/source/bench/path_bench.cpp
@@ -9,8 +9,12 @@
 #include "requests/executor_service.h"
 #include "requests/request_service.h"
 
+#include <ctime>
+#include <numeric>
 #include <thread>
 
+#include <pthread.h>
+
 #include <boost/program_options.hpp>
 
 namespace rattanpond::bench {
@@ -35,6 +39,16 @@
   {
     mThread = std::thread{ [this] { mContext.run(); } };
   }
+  /// Processor time that the thread has used. Unlike throughput it hardly depends on what else runs
+  /// on the machine.
+  double CpuMicroseconds()
+  {
+    clockid_t clock{};
+    timespec used{};
+    pthread_getcpuclockid(mThread.native_handle(), &clock);
+    clock_gettime(clock, &used);
+    return static_cast<double>(used.tv_sec) * 1e6 + static_cast<double>(used.tv_nsec) / 1e3;
+  }
   void Stop()
   {
     mContext.stop();
@@ -132,6 +146,19 @@
 
   net::tcp::endpoint Endpoint() const { return mEntries.front()->mServer->Endpoint(); }
 
+  double EntryCpu() const
+  {
+    return std::accumulate(mEntries.begin(), mEntries.end(), 0.0, [](double aSum, auto& aEntry) {
+      return aSum + aEntry->mThread.CpuMicroseconds();
+    });
+  }
+  double AgentCpu() const
+  {
+    return std::accumulate(mTargets.begin(), mTargets.end(), 0.0, [](double aSum, auto& aTarget) {
+      return aSum + aTarget->mAgentThread.CpuMicroseconds();
+    });
+  }
+
 private:
   bench_path() = default;
 
@@ -221,8 +248,17 @@
                           .mThreads = kClientThreads,
                           .mTime = base::milliseconds{ aSeconds * 1000 } });
   };
+  auto const echoBefore = echoThread.CpuMicroseconds();
   auto const echoMany = run(echo.Endpoint(), aConnections);
+  auto const echoCpu = echoThread.CpuMicroseconds() - echoBefore;
+  auto const entryBefore = path->EntryCpu();
+  auto const agentBefore = path->AgentCpu();
   auto const pathMany = run(path->Endpoint(), aConnections);
+  auto const entryCpu = path->EntryCpu() - entryBefore;
+  auto const agentCpu = path->AgentCpu() - agentBefore;
+  auto const perRequest = [](double aCpu, load_result const& aResult) {
+    return aCpu / static_cast<double>(aResult.mTotal);
+  };
   auto const echoOne = run(echo.Endpoint(), 1);
   auto const pathOne = run(path->Endpoint(), 1);
   echoThread.Stop();
@@ -239,6 +275,10 @@
     { "path", ToJson(pathMany) },
     { "echo_one_connection", ToJson(echoOne) },
     { "path_one_connection", ToJson(pathOne) },
+    { "cpu_us_per_request",
+      { { "echo", perRequest(echoCpu, echoMany) },
+        { "entry", perRequest(entryCpu, pathMany) },
+        { "agents", perRequest(agentCpu, pathMany) } } },
     { "throughput_ratio", pathMany.mRequestsPerSecond / echoMany.mRequestsPerSecond },
     { "added_p99_us_one_connection", pathOne.mP99Microseconds - echoOne.mP99Microseconds }
   };
--- a/source/requests/request_runner.h
+++ b/source/requests/request_runner.h
@@ -23,8 +23,9 @@
     claim_ledger::options mClaims;
     /// How long after the deadline an agent may still state the truth about an attempt.
     base::milliseconds mAnswerGrace{ 100 };
-    /// A target that nobody has announced for this long is gone.
-    base::milliseconds mGoneAfter{ 1000 };
+    /// A target that nobody has announced for this long is gone. Longer than a dialer needs to open
+    /// a link again, so that a short loss of links does not leave a request unsettled.
+    base::milliseconds mGoneAfter{ 3000 };
     std::size_t mMaximumAttempts = 4;
   };
 
--- /dev/null
+++ b/source/requests/tests/request_progress_test.cpp
@@ -0,0 +1,94 @@
+#include "requests/request_progress.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanpond::requests {
+
+namespace {
+
+using base::result_code;
+
+/// What happens to an attempt that an agent was given.
+enum class fault
+{
+  refused,
+  drained,
+  failed,
+  link_lost
+};
+
+next_step Apply(request_progress& aProgress, fault aFault)
+{
+  answer told;
+  told.mOutcome = aFault == fault::failed ? outcome::failed_by_target : outcome::refused_not_run;
+  told.mProof = aFault == fault::failed ? run_proof::may_have_run : run_proof::never_started;
+  told.mCode = aFault == fault::drained ? result_code::target_draining : result_code::queue_full;
+  aProgress.Given();
+  return aFault == fault::link_lost ? aProgress.LinkLost() : aProgress.Answered(told);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(request_progress_test)
+
+// Guards I5 and I6: after each fault of each kind of request, the next step and whether a refusal
+// may still say "not run".
+BOOST_AUTO_TEST_CASE(EachFaultHasItsStepAndItsProof)
+{
+  struct expectation
+  {
+    repeatability mRepeatability;
+    fault mFault;
+    next_step mStep;
+    outcome mRefusal;
+  };
+  constexpr auto kAgain = repeatability::idempotent;
+  constexpr auto kOnce = repeatability::non_idempotent;
+  expectation const kTable[] = {
+    { kAgain, fault::refused, next_step::retry, outcome::refused_not_run },
+    { kAgain, fault::drained, next_step::retry_freely, outcome::refused_not_run },
+    { kAgain, fault::failed, next_step::retry, outcome::failed_by_target },
+    { kAgain, fault::link_lost, next_step::retry, outcome::failed_by_target },
+    { kOnce, fault::refused, next_step::retry, outcome::refused_not_run },
+    { kOnce, fault::drained, next_step::retry_freely, outcome::refused_not_run },
+    { kOnce, fault::failed, next_step::finish, outcome::timed_out_may_have_run },
+    { kOnce, fault::link_lost, next_step::settle, outcome::timed_out_may_have_run },
+  };
+  for (auto const& expected : kTable) {
+    request_progress progress{ expected.mRepeatability };
+    BOOST_TEST(static_cast<int>(Apply(progress, expected.mFault)) ==
+               static_cast<int>(expected.mStep));
+    auto const told =
+      progress.Conclude(Ending(outcome::refused_not_run, result_code::no_target, ""));
+    BOOST_TEST(base::Name(told.mOutcome) == base::Name(expected.mRefusal));
+  }
+}
+
+// Guards against a proof of a later attempt that covers up an earlier one.
+BOOST_AUTO_TEST_CASE(ALaterRefusalDoesNotProveTheFirstAttempt)
+{
+  request_progress progress{ repeatability::idempotent };
+  Apply(progress, fault::link_lost);
+  Apply(progress, fault::refused);
+  BOOST_TEST(!progress.IsProvedNotRun());
+  auto const told =
+    progress.Conclude(Ending(outcome::timed_out_not_run, result_code::timed_out_not_run, ""));
+  BOOST_TEST(base::Name(told.mOutcome) == base::Name(outcome::timed_out_may_have_run));
+}
+
+// Guards the settling of a lost attempt: only the agent's denial permits another attempt.
+BOOST_AUTO_TEST_CASE(OnlyADenialPermitsAnotherAttempt)
+{
+  for (auto const& entry : base::enum_names<settle_state>::kTable) {
+    request_progress progress{ repeatability::non_idempotent };
+    Apply(progress, fault::link_lost);
+    auto const step = progress.Settled({ "q", entry.mValue, std::nullopt });
+    auto const isDenial = entry.mValue == settle_state::never_started;
+    BOOST_TEST((step == next_step::claim_again) == isDenial);
+    BOOST_TEST(progress.IsProvedNotRun() == isDenial);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::requests
