Configuration: Require a majority in each region for an accepted change

Agents count the entries of their own region. A majority of one region's entries does not meet the majority of another, so with the table down an agent there could start work on the older version. freshness_service now counts listed entries by the region of their hello; without other regions nothing changes. The test refuses acceptance until the other region's entry holds the version.

--- a/source/configuration/freshness_service.cpp
+++ b/source/configuration/freshness_service.cpp
@@ -174,7 +174,8 @@
 bool freshness_service::HasMajority(base::time_point aNow) const
 {
   auto const answering = std::ranges::count_if(mListed, [&](auto const& aItem) {
-    return aNow - aItem.second.mLastHeld <= mOptions.mFreshnessLimit;
+    return !mOptions.mOtherRegions.contains(aItem.second.mRegion) &&
+           aNow - aItem.second.mLastHeld <= mOptions.mFreshnessLimit;
   });
   return (static_cast<std::size_t>(answering) + 1) * 2 > mOptions.mListedEntries;
 }
@@ -213,12 +214,20 @@
          mPeers.at(aLink).mHello->mProcess != mOptions.mProcess;
 }
 
-std::size_t freshness_service::Holders(std::uint64_t aVersion) const
+bool freshness_service::IsInForce(std::uint64_t aVersion) const
 {
-  auto const others = std::ranges::count_if(
-    mListed, [&](auto const& aItem) { return aItem.second.mHeld >= aVersion; });
-  auto const isHeldHere = mStore.IsSynchronized() && mStore.Version() >= aVersion;
-  return static_cast<std::size_t>(others) + (isHeldHere ? 1U : 0U);
+  std::size_t here = mStore.IsSynchronized() && mStore.Version() >= aVersion ? 1 : 0;
+  std::map<std::string, std::size_t> elsewhere;
+  for (auto const& [process, entry] : mListed) {
+    auto const isElsewhere = mOptions.mOtherRegions.contains(entry.mRegion);
+    if (entry.mHeld >= aVersion) {
+      ++(isElsewhere ? elsewhere[entry.mRegion] : here);
+    }
+  }
+  return here * 2 > mOptions.mListedEntries &&
+         std::ranges::all_of(mOptions.mOtherRegions, [&](auto const& aRegion) {
+           return elsewhere[aRegion.first] * 2 > aRegion.second;
+         });
 }
 
 void freshness_service::ConfirmReceived(net::link_ptr const& aLink, confirm const& aMessage)
@@ -254,7 +263,9 @@
   if (!IsListed(aLink)) {
     return;
   }
-  auto& entry = mListed[mPeers.at(aLink).mHello->mProcess];
+  auto const& hello = *mPeers.at(aLink).mHello;
+  auto& entry = mListed[hello.mProcess];
+  entry.mRegion = hello.mRegion;
   entry.mHeld = std::max(entry.mHeld, aMessage.mVersion);
   entry.mLastHeld = base::Now();
   for (auto* const wait : mForceWaits) {
@@ -273,14 +284,13 @@
   auto const deadline = base::Now() + mOptions.mForceLimit;
   asio::steady_timer wait{ mContext };
   mForceWaits.insert(&wait);
-  while (Holders(aVersion) * 2 <= mOptions.mListedEntries && base::Now() < deadline) {
+  while (!IsInForce(aVersion) && base::Now() < deadline) {
     wait.expires_after(deadline - base::Now());
     boost::system::error_code ignored;
     co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
   mForceWaits.erase(&wait);
-  co_return Holders(aVersion) * 2 > mOptions.mListedEntries ? force_state::in_force
-                                                            : force_state::committed;
+  co_return IsInForce(aVersion) ? force_state::in_force : force_state::committed;
 }
 
 } // namespace rattanpond::configuration
--- a/source/configuration/freshness_service.h
+++ b/source/configuration/freshness_service.h
@@ -18,7 +18,7 @@
 /// How far a committed version has come.
 enum class force_state
 {
-  /// A majority of the listed entries hold it, so no agent can start work on an older one.
+  /// In each region a majority of the entries hold it, so no agent can start work on an older one.
   in_force,
   committed
 };
@@ -33,8 +33,11 @@
   {
     /// Process id of this entry, as in its hello.
     std::string mProcess;
-    /// Entries in the settings, this one included.
+    /// Entries of this region in the settings, this one included.
     std::size_t mListedEntries = 1;
+    /// Number of entries in the settings for each other region. Agents count the entries of their
+    /// own region, so a version is in force only with a majority in each region.
+    std::map<std::string, std::size_t> mOtherRegions = {};
     base::milliseconds mConfirmPeriod{ 500 };
     /// Age up to which a read or a sign of life counts as fresh.
     base::milliseconds mFreshnessLimit{ 3000 };
@@ -71,10 +74,10 @@
 
   /// Whether the read of the table is fresh.
   bool IsStoreFresh(base::time_point aNow) const;
-  /// Whether a majority of the listed entries answered lately, this one included.
+  /// Whether a majority of the region's entries answered lately, this one included.
   bool HasMajority(base::time_point aNow) const;
 
-  /// Waits until a majority of the listed entries hold aVersion, or until the limit.
+  /// Waits until a majority of the entries of each region hold aVersion, or until the limit.
   boost::asio::awaitable<force_state> AwaitInForce(std::uint64_t aVersion);
 
 private:
@@ -89,6 +92,7 @@
   /// What is known of another listed entry, by process id.
   struct listed_entry
   {
+    std::string mRegion;
     std::uint64_t mHeld = 0;
     base::time_point mLastHeld{};
   };
@@ -108,7 +112,7 @@
   void Evaluate(base::time_point aNow);
   bool IsEntry(net::link_ptr const& aLink) const;
   bool IsListed(net::link_ptr const& aLink) const;
-  std::size_t Holders(std::uint64_t aVersion) const;
+  bool IsInForce(std::uint64_t aVersion) const;
   void ConfirmReceived(net::link_ptr const& aLink, confirm const& aMessage);
   void PushReceived(net::link_ptr const& aLink, config_push const& aMessage);
   void HeldReceived(net::link_ptr const& aLink, config_held const& aMessage);
--- a/source/configuration/tests/freshness_test.cpp
+++ b/source/configuration/tests/freshness_test.cpp
@@ -18,12 +18,13 @@
 using base::json;
 using base::milliseconds;
 
-membership::hello Hello(std::string aProcess, membership::process_role aRole)
+membership::hello Hello(std::string aProcess, membership::process_role aRole,
+                        std::string aRegion = "region")
 {
   return { .mProcess = std::move(aProcess),
            .mIncarnation = base::RandomIdentifier(),
            .mRole = aRole,
-           .mRegion = "region",
+           .mRegion = std::move(aRegion),
            .mDomain = "zone" };
 }
 
@@ -38,25 +39,34 @@
   return endpoints;
 }
 
+freshness_service::options Options()
+{
+  return { .mProcess = {},
+           .mListedEntries = 3,
+           .mConfirmPeriod = milliseconds{ 25 },
+           .mFreshnessLimit = milliseconds{ 300 },
+           .mNotReadyAfter = milliseconds{ 300 },
+           .mForceLimit = milliseconds{ 2000 } };
+}
+
+freshness_service::options Named(freshness_service::options aOptions, std::string aProcess)
+{
+  aOptions.mProcess = std::move(aProcess);
+  return aOptions;
+}
+
 /// The parts of an entry that this slice needs, on real links.
 class entry_process
 {
 public:
   entry_process(asio::io_context& aContext, platform::table_service& aTable,
-                std::vector<net::tcp::endpoint> const& aEndpoints, std::size_t aIndex)
-    : mHello{ Hello("entry-" + std::to_string(aIndex), membership::process_role::entry) }
+                std::vector<net::tcp::endpoint> const& aEndpoints, std::size_t aIndex,
+                freshness_service::options aOptions = Options(), std::string aRegion = "region")
+    : mHello{ Hello("entry-" + std::to_string(aIndex), membership::process_role::entry,
+                    std::move(aRegion)) }
     , mLinks{ aContext, { .mEntries = aEndpoints, .mHello = mHello }, mDispatcher }
     , mStore{ aContext, aTable, { .mPollPeriod = milliseconds{ 50 } } }
-    , mFreshness{ aContext,
-                  mStore,
-                  mTargets,
-                  mLinks,
-                  { .mProcess = mHello.mProcess,
-                    .mListedEntries = aEndpoints.size(),
-                    .mConfirmPeriod = milliseconds{ 25 },
-                    .mFreshnessLimit = milliseconds{ 300 },
-                    .mNotReadyAfter = milliseconds{ 300 },
-                    .mForceLimit = milliseconds{ 2000 } } }
+    , mFreshness{ aContext, mStore, mTargets, mLinks, Named(std::move(aOptions), mHello.mProcess) }
     , mOperators{ aContext, mStore, mFreshness, mAccess }
   {
     mTargets.Register(mDispatcher);
@@ -234,6 +244,35 @@
   BOOST_TEST(json::parse(alone.mBody).at("result") == "committed, not yet in force everywhere");
 }
 
+// Guards against a change that is accepted while another region, whose agents count their own
+// entries, does not hold it.
+BOOST_AUTO_TEST_CASE(EachRegionNeedsItsMajority)
+{
+  asio::io_context context;
+  platform::memory_table table;
+  auto const endpoints = FreeEndpoints(context, 2);
+  auto options = Options();
+  options.mListedEntries = 1;
+  options.mOtherRegions = { { "far", 1 } };
+  options.mForceLimit = milliseconds{ 200 };
+  entry_process near{ context, table, endpoints, 0, options };
+  auto const change = [&](std::uint64_t aBase) {
+    return platform::Run(context, near.mRouter.Handle(near.Request(
+                                    "POST", "/v1/domains/zone",
+                                    { { "state", "out_of_service" }, { "base_version", aBase } })));
+  };
+  while (!near.mStore.IsSynchronized()) {
+    context.run_one();
+  }
+  BOOST_TEST(change(0).mStatus == 202U);
+  entry_process far{ context, table, endpoints, 1, options, "far" };
+  unsigned status = 0;
+  for (std::uint64_t base = 1; base < 50 && status != 200; ++base) {
+    status = change(base).mStatus;
+  }
+  BOOST_TEST(status == 200U);
+}
+
 // Guards against operators' calls without the operators' token.
 BOOST_FIXTURE_TEST_CASE(CallsNeedTheOperatorsToken, fixture)
 {
