Placement: Move small borrowed gangs where a large job gains much more

Cause: large jobs waited while enough accelerators were free but apart. Change: for the first three waiting large jobs, small borrowed gangs are moved if starting now rather than at the estimated time gains twenty times the lost work. The measurement reports stranded accelerators also for the time in which enough are free in all.

--- a/source/bench/policy_metrics.h
+++ b/source/bench/policy_metrics.h
@@ -29,6 +29,9 @@
   /// Accelerator-seconds over the arrivals.
   double mFree = 0;
   double mStranded = 0;
+  /// The same while enough is free in all, so that a better arrangement could serve the shape.
+  double mFreeEnough = 0;
+  double mStrandedOfEnough = 0;
   double mLargeJobsBlocked = 0;
 
   /// Accelerator-seconds from the domain's leaving until ten minutes after its return.
--- a/source/bench/policy_replay.cpp
+++ b/source/bench/policy_replay.cpp
@@ -441,6 +441,10 @@
   }
   mMetrics.mFree += inArrivals * static_cast<double>(allFree);
   mMetrics.mStranded += inArrivals * static_cast<double>(stranded);
+  if (allFree >= mLargest.mAccelerators) {
+    mMetrics.mFreeEnough += inArrivals * static_cast<double>(allFree);
+    mMetrics.mStrandedOfEnough += inArrivals * static_cast<double>(stranded);
+  }
   for (auto const& [name, waiting] : mState.mWaiting) {
     auto const needs = mWorkload.mJobs[Index(name)].Accelerators();
     if (needs >= kLargeJob && needs <= allFree) {
--- a/source/placement/guaranteed_borrowing.cpp
+++ b/source/placement/guaranteed_borrowing.cpp
@@ -1,6 +1,7 @@
 #include "placement/guaranteed_decision.h"
 
 #include <algorithm>
+#include <limits>
 #include <queue>
 #include <tuple>
 
@@ -22,6 +23,14 @@
 constexpr double kLongestWaitingRatio = 10;
 /// A workspace that waits this long is put before one that borrows everything.
 constexpr double kAgeingMilliseconds = 3'600'000;
+/// Run times are off by up to five either way on both sides of the comparison.
+constexpr double kMoveGain = 20;
+/// Larger gangs are not moved: they would become the large jobs that wait.
+constexpr std::int64_t kMovableGang = 4;
+/// Only the first few large jobs are considered for moves in one decision.
+constexpr int kMoveAttempts = 3;
+/// A gain further in the future than this is too uncertain to count.
+constexpr base::milliseconds kMoveHorizon{ 1'200'000 };
 /// Estimates change as gangs end, but a place that changes all the time never becomes free.
 constexpr base::milliseconds kReplanAfter{ 60'000 };
 
@@ -215,6 +224,59 @@
   }
 }
 
+void guaranteed_decision::Defragment()
+{
+  std::vector<waiting_job const*> large;
+  for (auto const& [name, ledger] : mLedgers) {
+    for (auto const* const job : ledger.mJobs) {
+      if (Accelerators(job->mShape) >= kLargeJob && !IsClaimed(job->mJob) &&
+          mNow - job->mWaitingSince >= mMemory.mOptions.mReservationAfter) {
+        large.push_back(job);
+      }
+    }
+  }
+  auto attempts = kMoveAttempts;
+  for (auto const* const job : large) {
+    if (attempts-- == 0) {
+      return;
+    }
+    MakeRoom(*job, Ledger(job->mWorkspace));
+  }
+}
+
+bool guaranteed_decision::MakeRoom(waiting_job const& aJob, workspace_ledger& aLedger)
+{
+  auto const needed = Accelerators(aJob.mShape);
+  std::int64_t free = 0;
+  for (auto const& amount : mView.Free()) {
+    free += std::max<std::int64_t>(amount.mAccelerators, 0);
+  }
+  // With less in all, the moved gangs would have no place to go.
+  if (free < needed || !aLedger.IsWithinQuota(needed)) {
+    return false;
+  }
+  auto const later =
+    PlanReservation(mMemory.mTopology, mView, mMemory.mEstimator, aJob,
+                    std::vector<resources>{ mView.Free().begin(), mView.Free().end() }, mNow);
+  auto chosen = later ? PlanUrgent(aJob) : std::nullopt;
+  if (!chosen) {
+    return false;
+  }
+  auto const sooner = std::min(later->mFrom - mNow, kMoveHorizon);
+  auto const gain = static_cast<double>(sooner.count() * needed);
+  double loss = 0;
+  for (auto const victim : chosen->mVictims) {
+    auto const& gang = mView.Gangs()[victim];
+    loss += gang.Accelerators() > kMovableGang ? std::numeric_limits<double>::infinity()
+                                               : LostWork(gang, mNow);
+  }
+  if (gain < kMoveGain * loss) {
+    return false;
+  }
+  AddClaim(aJob, aLedger, std::move(*chosen), tenure::borrowed);
+  return true;
+}
+
 double guaranteed_decision::Standing(workspace_ledger const& aLedger) const
 {
   auto const& job = *aLedger.mJobs[aLedger.mNext];
--- a/source/placement/guaranteed_decision.cpp
+++ b/source/placement/guaranteed_decision.cpp
@@ -81,6 +81,7 @@
   ProbeWorkers();
   Reserve();
   Borrow();
+  Defragment();
   StartReadyClaims();
   mMemory.mClaims = std::move(mClaims);
   mMemory.mReservations = std::move(mReservations);
@@ -282,7 +283,8 @@
   auto const rule =
     aClaim.mTenure == tenure::guaranteed ? victim_rule::any_borrowed : victim_rule::not_urgent;
   auto victims = ChooseVictims(mView, aClaim.mParts, task, rule, mNow);
-  if (!victims) {
+  auto const mayStopMore = aClaim.mTenure == tenure::guaranteed || aJob.mUrgency == urgency::urgent;
+  if (!victims || (!mayStopMore && !victims->empty())) {
     return false;
   }
   AddClaim(aJob, ledger, { aClaim.mParts, std::move(*victims) }, aClaim.mTenure);
@@ -293,7 +295,7 @@
                                    tenure aTenure)
 {
   auto const task = Need(aJob.mShape.mTask);
-  StopForClaim(aPlan.mVictims, aPlan.mParts, aJob, Notice(aJob, aLedger));
+  StopForClaim(aPlan.mVictims, aPlan.mParts, aJob, aTenure, Notice(aJob, aLedger));
   mView.Take(aPlan.mParts, task);
   aLedger.mAccelerators += Accelerators(aJob.mShape);
   if (aTenure == tenure::guaranteed) {
@@ -310,10 +312,12 @@
 
 void guaranteed_decision::StopForClaim(std::vector<std::uint32_t> const& aVictims,
                                        placed_parts const& aParts, waiting_job const& aJob,
-                                       base::milliseconds aNotice)
+                                       tenure aTenure, base::milliseconds aNotice)
 {
   auto const isUrgent = aJob.mUrgency == urgency::urgent;
-  auto const reason = isUrgent ? stop_reason::urgent : stop_reason::reclaim;
+  auto const reason = isUrgent                        ? stop_reason::urgent
+                      : aTenure == tenure::guaranteed ? stop_reason::reclaim
+                                                      : stop_reason::defragment;
   for (auto const victim : aVictims) {
     Stop(mView.Gangs()[victim], reason, aNotice);
   }
--- a/source/placement/guaranteed_decision.h
+++ b/source/placement/guaranteed_decision.h
@@ -50,6 +50,9 @@
   void Reserve();
   void RenewReservations();
   void AddReservations();
+  /// Moves borrowed gangs together where a large job gains more than they lose.
+  void Defragment();
+  bool MakeRoom(waiting_job const& aJob, workspace_ledger& aLedger);
   void Borrow();
   bool BorrowFree(waiting_job const& aJob, workspace_ledger& aLedger);
   double Standing(workspace_ledger const& aLedger) const;
@@ -67,7 +70,7 @@
                                    victim_rule aRule, fit_score const& aScore) const;
   void AddClaim(waiting_job const& aJob, workspace_ledger& aLedger, plan aPlan, tenure aTenure);
   void StopForClaim(std::vector<std::uint32_t> const& aVictims, placed_parts const& aParts,
-                    waiting_job const& aJob, base::milliseconds aNotice);
+                    waiting_job const& aJob, tenure aTenure, base::milliseconds aNotice);
   void Stop(gang_view& aGang, stop_reason aReason, base::milliseconds aNotice);
   bool IsClaimed(std::string const& aJob) const;
   workspace_ledger& Ledger(std::string const& aWorkspace);
