Scheduling: Keep gangs over short losses of a worker's link

Cause: a worker was taken for lost as soon as its link closed, so the policy stopped its gangs when an agent was restarted or a link was cut for a moment. Change: nothing new starts on such a worker, and it counts as lost after 5 s; the gang's agents watch it themselves. Reports hold about 64 ended gangs at most.

--- a/source/scheduling/scheduler_service.cpp
+++ b/source/scheduling/scheduler_service.cpp
@@ -24,6 +24,10 @@
 constexpr base::milliseconds kReloadPeriod{ 60'000 };
 constexpr base::milliseconds kReloadRetry{ 2000 };
 
+// A worker whose link was cut for less than this is not taken for lost: its agent may be starting
+// again, and the gang's agents watch it themselves.
+constexpr base::milliseconds kLostAfter{ 5000 };
+
 // Gangs may refer to a worker for this long after it left.
 constexpr base::milliseconds kDepartedRetention{ 60'000 };
 
@@ -236,7 +240,10 @@
   auto const snapshot = mOptions.mSnapshot();
   for (auto const& [name, departed] : mDeparted) {
     auto lost = Worker(departed.mDescription, *snapshot);
-    lost.mAvailability = placement::worker_availability::lost;
+    // Of a quarantined worker the policy starts nothing, and it leaves what runs there alone.
+    lost.mAvailability = aNow - departed.mLeft < kLostAfter
+                           ? placement::worker_availability::quarantined
+                           : placement::worker_availability::lost;
     state.mWorkers[name] = std::move(lost);
   }
   for (auto const& [name, target] : mTargets.Targets()) {
--- a/source/scheduling/tests/ledger_test.cpp
+++ b/source/scheduling/tests/ledger_test.cpp
@@ -95,6 +95,29 @@
   BOOST_CHECK(reserve({ "x", 3 }, 4200) == result_code::ok);
 }
 
+// Guards against a commit by a scheduler that was replaced after it reserved, and against its
+// reservation that stays.
+BOOST_AUTO_TEST_CASE(SchedulerReplacedBetweenReserveAndCommit)
+{
+  reservation_ledger ledger{ kCapacity };
+  term const old{ 1, 0, "a" };
+  term const fresh{ 2, 0, "b" };
+  gang_id const gang{ "x", 1 };
+  BOOST_CHECK(ledger.Reserve(old, gang, Accelerators(8), milliseconds{ 3000 }, At(0)) ==
+              result_code::ok);
+  BOOST_TEST(ledger.Admit(fresh));
+  BOOST_CHECK(ledger.Commit(old, gang, At(100)) == result_code::stale_term);
+  BOOST_TEST(!ledger.IsCommitted(gang));
+  gang_id const next{ "x", 2 };
+  auto const reserve = [&](std::int64_t aNow) {
+    return ledger.Reserve(fresh, next, Accelerators(8), milliseconds{ 3000 }, At(aNow));
+  };
+  BOOST_CHECK(reserve(200) == result_code::accelerators_taken);
+  BOOST_CHECK(reserve(3000) == result_code::ok);
+  BOOST_CHECK(ledger.Release(old, next) == result_code::stale_term);
+  BOOST_CHECK(ledger.Commit(fresh, next, At(3100)) == result_code::ok);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/tests/loopback_test.cpp
+++ b/source/scheduling/tests/loopback_test.cpp
@@ -63,6 +63,25 @@
                                  milliseconds{ 5000 }));
 }
 
+// Guards against gangs that end because an agent was replaced or its links were cut for a moment.
+BOOST_AUTO_TEST_CASE(GangSurvivesTheRestartOfAnAgent)
+{
+  for (std::size_t restarted = 0; restarted < 2; ++restarted) {
+    test_cluster cluster{ 1, 2 };
+    auto const id = IdOf(cluster.Submit(0, "key", Specification(8, 600'000)));
+    BOOST_REQUIRE(
+      cluster.RunUntil([&] { return cluster.JobState(id) == "running"; }, milliseconds{ 10'000 }));
+    cluster.Machines()[restarted].mAgent.reset();
+    cluster.RunUntil([] { return false; }, milliseconds{ 1000 });
+    cluster.StartAgent(restarted);
+    cluster.RunUntil([] { return false; }, milliseconds{ 8000 });
+    BOOST_TEST(cluster.Running(0) == 4U);
+    BOOST_TEST(cluster.Running(1) == 4U);
+    BOOST_TEST(cluster.Machines()[restarted].mRunner->Starts() == 4U);
+    BOOST_TEST(cluster.JobState(id) == "running");
+  }
+}
+
 // Guards against running gangs that stop, or jobs that start twice, when the scheduler is replaced,
 // and against a submission through another entry that no scheduler learns of.
 BOOST_AUTO_TEST_CASE(GangSurvivesTheLossOfItsScheduler)
--- a/source/scheduling/worker_service.cpp
+++ b/source/scheduling/worker_service.cpp
@@ -18,6 +18,9 @@
 // Work done changes all the time; entries need it only to choose what to preempt.
 constexpr base::milliseconds kProgressPeriod{ 10'000 };
 
+// Bounds the report of a worker that fails every task it is given.
+constexpr std::int64_t kReportedEndedGangs = 64;
+
 placement::task_shape Capacity(membership::worker_capacity const& aCapacity)
 {
   return { .mAccelerators = aCapacity.mAccelerators,
@@ -444,12 +447,7 @@
       TickGang(hosted, gateNow, now);
     }
   }
-  std::erase_if(mGangs, [&](auto const& aEntry) {
-    auto const& closed = aEntry.second.mClosedAt;
-    auto const& coordinator = aEntry.second.mCoordinator;
-    return closed && now - *closed > mOptions.mOutcomeRetention &&
-           (!coordinator || coordinator->IsDone(now));
-  });
+  ForgetEnded(now);
   if (now >= mNextPoll && (!mHasAdopted || ActiveGangs() > 0)) {
     mNextPoll = now + mOptions.mPollPeriod;
     mDriver.Poll();
@@ -467,6 +465,20 @@
   });
 }
 
+void worker_service::ForgetEnded(base::time_point aNow)
+{
+  auto const ended = static_cast<std::int64_t>(mGangs.size() - ActiveGangs());
+  auto retention = mOptions.mOutcomeRetention;
+  if (ended > kReportedEndedGangs) {
+    retention = retention * kReportedEndedGangs / (ended * 2);
+  }
+  std::erase_if(mGangs, [&](auto const& aEntry) {
+    auto const& closed = aEntry.second.mClosedAt;
+    auto const& coordinator = aEntry.second.mCoordinator;
+    return closed && aNow - *closed > retention && (!coordinator || coordinator->IsDone(aNow));
+  });
+}
+
 void worker_service::TickGang(hosted_gang& aGang, gate aGate, base::time_point aNow)
 {
   auto& member = *aGang.mMember;
--- a/source/scheduling/worker_service.h
+++ b/source/scheduling/worker_service.h
@@ -86,6 +86,8 @@
   void Settle(hosted_gang& aGang);
   void Tick();
   void TickGang(hosted_gang& aGang, gate aGate, base::time_point aNow);
+  /// Drops gangs that ended long ago; sooner when many end.
+  void ForgetEnded(base::time_point aNow);
   void Report();
   task_report FullReport() const;
   gate Gate() const;
