Placement: Bind shapes on few workers and compact unused ones

Change: fewer workers come first when a shape is placed, and one unused shape per decision is moved where it needs fewer workers.

--- a/source/placement/guarantee_binding.cpp
+++ b/source/placement/guarantee_binding.cpp
@@ -1,6 +1,7 @@
 #include "placement/guarantee_binding.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanpond::placement {
 
@@ -90,7 +91,7 @@
   if (guarantees == mGuarantees &&
       std::equal(aUsable.begin(), aUsable.end(), mUsable.begin(), mUsable.end()) &&
       IsAllBound(mShapes)) {
-    return false;
+    return Compact(aTopology, aUses);
   }
   mGuarantees = std::move(guarantees);
   mUsable.assign(aUsable.begin(), aUsable.end());
@@ -159,6 +160,48 @@
   return IsAllBound(aShapes);
 }
 
+bool guarantee_binding::IsInUse(bound_shape const& aShape,
+                                std::vector<guaranteed_use> const& aUses) const
+{
+  return std::any_of(aUses.begin(), aUses.end(), [&](guaranteed_use const& aUse) {
+    return *aUse.mWorkspace == aShape.mWorkspace &&
+           std::any_of(aUse.mParts->begin(), aUse.mParts->end(), [&](placed_part const& aUsed) {
+             return std::any_of(
+               aShape.mParts.begin(), aShape.mParts.end(),
+               [&](placed_part const& aPart) { return aPart.mWorker == aUsed.mWorker; });
+           });
+  });
+}
+
+bool guarantee_binding::Compact(topology const& aTopology, std::vector<guaranteed_use> const& aUses)
+{
+  std::int64_t largest = 1;
+  for (auto const& amount : mUsable) {
+    largest = std::max(largest, amount.mAccelerators);
+  }
+  for (std::size_t count = 0; count < mShapes.size(); ++count) {
+    auto& shape = mShapes[mNextToCompact++ % mShapes.size()];
+    auto const fewest = (shape.mShape.mAccelerators + largest - 1) / largest;
+    if (static_cast<std::int64_t>(shape.mParts.size()) <= fewest || IsInUse(shape, aUses)) {
+      continue;
+    }
+    // One attempt per decision bounds the cost; the next one goes on with the next shape.
+    auto const old = std::exchange(shape.mParts, {});
+    auto free = mUsable;
+    for (auto const& other : mShapes) {
+      Take(aTopology, free, other);
+    }
+    auto parts = PlaceBesideUse(aTopology, shape, free, UncoveredUse(aTopology, mShapes, aUses));
+    auto const isBetter = parts && parts->size() < old.size();
+    shape.mParts = isBetter ? std::move(*parts) : old;
+    if (isBetter) {
+      Index(aTopology);
+    }
+    return isBetter;
+  }
+  return false;
+}
+
 void guarantee_binding::Rebase(topology const& aOld, topology const& aNew)
 {
   for (auto& shape : mShapes) {
--- a/source/placement/guarantee_binding.h
+++ b/source/placement/guarantee_binding.h
@@ -45,12 +45,17 @@
                   std::span<resources> aFree) const;
   static bool PlaceAround(topology const& aTopology, std::vector<bound_shape>& aShapes,
                           std::span<resources> aFree, std::vector<guaranteed_use> const& aUses);
+  /// Moves one unused shape that is spread over many workers to a place on fewer.
+  bool Compact(topology const& aTopology, std::vector<guaranteed_use> const& aUses);
+  bool IsInUse(bound_shape const& aShape, std::vector<guaranteed_use> const& aUses) const;
   void Index(topology const& aTopology);
 
   std::vector<bound_shape> mShapes;
   std::unordered_map<std::string, worker_amounts> mBound;
   shape_list mGuarantees;
   std::vector<resources> mUsable;
+  /// Shape at which Compact goes on.
+  std::size_t mNextToCompact = 0;
 };
 
 } // namespace rattanpond::placement
--- a/source/placement/shape_packing.cpp
+++ b/source/placement/shape_packing.cpp
@@ -115,7 +115,8 @@
   }
   // The tightest rack keeps whole racks free for the shapes that follow.
   auto const score = [&](placed_parts const& aParts) {
-    double sum = 0;
+    // A place on fewer workers serves gangs with larger tasks.
+    double sum = 10'000.0 * static_cast<double>(aParts.size());
     for (auto const& part : aParts) {
       sum += 1000 * aView.mCost(part.mWorker) * part.mTasks +
              static_cast<double>(inRack[aTopology.Group(adjacency::same_rack, part.mWorker)]) +
