Scheduling: Accept an owner's job while the store is down

Change: the scheduler holds the job in memory while borrowed gangs leave, at most the reclaim bound of the contract, and answers when the gang is committed on agents. Other entries pass the job on and wait. Ruled out: writing the row later without a commit on agents, since the loss of the scheduler would then lose an accepted job.

--- a/source/scheduling/job_api.cpp
+++ b/source/scheduling/job_api.cpp
@@ -9,6 +9,7 @@
 // NOTE: GCC 12 inlines the allocation of a coroutine's frame but not its release, and then reports
 // the pair as mismatched (GCC bug 109224).
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 
 namespace rattanpond::scheduling {
 
@@ -26,6 +27,11 @@
 // A gang is reserved and committed within the limits of gang_record, 2 s each.
 constexpr base::milliseconds kDirectLimit{ 4500 };
 
+base::reply<job> Refused(result_code aCode, std::string aMessage)
+{
+  return base::error{ aCode, std::move(aMessage) };
+}
+
 http_response JobResponse(unsigned aStatus, job const& aJob)
 {
   return net::JsonResponse(aStatus, base::Encode(aJob));
@@ -134,12 +140,8 @@
   auto const created = co_await mStore.Create(submitted);
   if (!base::Succeeded(created)) {
     auto const& failure = base::Error(created);
-    if (failure.mCode == result_code::store_unavailable && mRole.Holds() && IsOwn(submitted)) {
-      co_return co_await SubmitWithoutStore(submitted);
-    }
     if (failure.mCode == result_code::store_unavailable) {
-      co_return net::ErrorResponse(
-        { .mCode = failure.mCode, .mMessage = "not accepted: the store is unavailable" });
+      co_return co_await SubmitWithoutStore(submitted);
     }
     co_return net::ErrorResponse(failure);
   }
@@ -154,47 +156,90 @@
   co_return JobResponse(201, accepted);
 }
 
-asio::awaitable<http_response> scheduler_service::SubmitWithoutStore(job aJob)
+base::milliseconds scheduler_service::UnrecordedLimit(job const& aJob) const
+{
+  // An owner's call may have to wait until borrowed gangs have left.
+  auto const snapshot = mOptions.mSnapshot();
+  auto const found = snapshot->mContracts.find(aJob.mSpecification.mWorkspace);
+  if (found == snapshot->mContracts.end() || found->second.mGuarantee.empty()) {
+    return kDirectLimit;
+  }
+  return kDirectLimit + found->second.mReclaimBound;
+}
+
+asio::awaitable<base::reply<job>> scheduler_service::CommitUnrecorded(job aJob)
 {
   auto const living = mAlive;
-  auto const deadline = base::Now() + kDirectLimit;
-  if (auto const* const known = mBook.Find(aJob.mId)) {
-    if (known->mJob.mSpecification != aJob.mSpecification) {
-      co_return net::ErrorResponse(
-        { .mCode = result_code::key_reused,
-          .mMessage = "the key was used for a job with another specification" });
-    }
-    if (!known->mIsTentative) {
-      co_return JobResponse(201, known->mJob);
-    }
+  auto const id = aJob.mId;
+  auto const deadline = base::Now() + UnrecordedLimit(aJob);
+  auto const* known = mBook.Find(id);
+  if (known != nullptr && known->mJob.mSpecification != aJob.mSpecification) {
+    co_return Refused(result_code::key_reused,
+                      "the key was used for a job with another specification");
   }
-  mBook.PutTentative(aJob, base::Now());
-  if (MayPlace(base::Now())) {
-    Decide(base::Now());
+  // A repetition of the submission waits for the first one's outcome.
+  auto const isFirst = known == nullptr && mUnrecorded.insert(id).second;
+  if (isFirst) {
+    mBook.PutTentative(std::move(aJob), base::Now());
+    mIsDecisionDue = true;
   }
   while (true) {
-    auto const* const known = mBook.Find(aJob.mId);
+    known = mBook.Find(id);
     if (known != nullptr &&
         (!known->mIsTentative || (known->mGang && known->mGang->IsCommitted()))) {
-      mBook.Confirm(aJob.mId);
       auto const accepted = known->mJob;
+      mUnrecorded.erase(id);
+      mBook.Confirm(id);
       Flush();
-      co_return JobResponse(201, accepted);
+      co_return accepted;
     }
-    if (known == nullptr || !known->mGang || base::Now() >= deadline) {
+    if (known == nullptr || base::Now() >= deadline) {
       break;
     }
     co_await Wait(mContext, kPassPoll);
     if (!*living) {
-      co_return net::ErrorResponse(
-        { .mCode = result_code::shutting_down, .mMessage = "not accepted" });
+      co_return Refused(result_code::shutting_down, "not accepted");
     }
   }
-  mBook.Withdraw(aJob.mId, base::Now());
-  Flush();
-  co_return net::ErrorResponse(
-    { .mCode = result_code::store_unavailable,
-      .mMessage = "not accepted: the store is unavailable and the job cannot start at once" });
+  if (isFirst) {
+    mUnrecorded.erase(id);
+    mBook.Withdraw(id, base::Now());
+    Flush();
+  }
+  co_return Refused(result_code::store_unavailable,
+                    "not accepted: the store is unavailable and the job cannot start");
+}
+
+asio::awaitable<void> scheduler_service::AnswerUnrecorded(net::link_ptr aLink, job aJob)
+{
+  auto const id = aJob.mId;
+  auto const committed = co_await CommitUnrecorded(std::move(aJob));
+  job_reply reply;
+  reply.mJob = id;
+  reply.mCode = base::Succeeded(committed) ? result_code::ok : base::Error(committed).mCode;
+  aLink->Send(reply);
+}
+
+asio::awaitable<http_response> scheduler_service::SubmitWithoutStore(job aJob)
+{
+  if (mRole.Holds() && IsOwn(aJob)) {
+    auto const committed = co_await CommitUnrecorded(std::move(aJob));
+    if (!base::Succeeded(committed)) {
+      co_return net::ErrorResponse(base::Error(committed));
+    }
+    co_return JobResponse(201, std::get<job>(committed));
+  }
+  auto const limit = UnrecordedLimit(aJob) + kPassPeriod;
+  job_submit message;
+  message.mJob = aJob;
+  message.mRecord = job_record::missing;
+  auto const isCommitted = co_await Pass(net::EncodeFrame(message), aJob.mId, limit);
+  if (!isCommitted) {
+    co_return net::ErrorResponse(
+      { .mCode = result_code::store_unavailable,
+        .mMessage = "not accepted: the store is unavailable and the job cannot start" });
+  }
+  co_return JobResponse(201, aJob);
 }
 
 asio::awaitable<base::reply<job>> scheduler_service::ReadJob(std::string aId)
@@ -327,6 +372,10 @@
       mReplies.erase(aJob);
       co_return true;
     }
+    if (reply->second != result_code::timed_out) {
+      // The scheduler has refused.
+      break;
+    }
     if (mRole.Holds()) {
       // This entry has read all rows, or reads them now.
       break;
--- a/source/scheduling/messages.h
+++ b/source/scheduling/messages.h
@@ -7,6 +7,25 @@
 
 namespace rattanpond::scheduling {
 
+/// Whether a submitted job stands in the table.
+enum class job_record
+{
+  written,
+  missing
+};
+
+} // namespace rattanpond::scheduling
+
+template<>
+struct rattanpond::base::enum_names<rattanpond::scheduling::job_record>
+{
+  using type = rattanpond::scheduling::job_record;
+  static constexpr enum_name<type> kTable[] = { { type::written, "written" },
+                                                { type::missing, "missing" } };
+};
+
+namespace rattanpond::scheduling {
+
 // Messages between the scheduler and agents, and between entries.
 
 /// Asks an agent to keep resources for its part of a gang.
@@ -184,13 +203,20 @@
 };
 
 /// An entry tells the scheduler of a job whose row exists.
+/// Passes a submission to the scheduler.
 struct job_submit
 {
   static constexpr net::message_type kType = net::message_type::job_submit;
 
   job mJob;
+  /// Whether the row of the job exists. Without it the reply comes when the gang is committed.
+  job_record mRecord = job_record::written;
 
-  static constexpr auto Fields() { return std::make_tuple(base::Field("job", &job_submit::mJob)); }
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("job", &job_submit::mJob),
+                           base::Field("record", &job_submit::mRecord));
+  }
 };
 
 struct job_cancel
--- a/source/scheduling/scheduler_service.cpp
+++ b/source/scheduling/scheduler_service.cpp
@@ -108,7 +108,12 @@
     }
   });
   aDispatcher.On<job_submit>([this](net::link_ptr const& aLink, job_submit const& aMessage) {
-    if (mRole.Holds() && IsOwn(aMessage.mJob)) {
+    if (!mRole.Holds() || !IsOwn(aMessage.mJob)) {
+      return;
+    }
+    if (aMessage.mRecord == job_record::missing) {
+      asio::co_spawn(mContext, AnswerUnrecorded(aLink, aMessage.mJob), asio::detached);
+    } else {
       mBook.Put(aMessage.mJob, base::Now());
       aLink->Send(job_reply{ .mJob = aMessage.mJob.mId });
       Flush();
--- a/source/scheduling/scheduler_service.h
+++ b/source/scheduling/scheduler_service.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -103,7 +104,11 @@
   boost::asio::awaitable<net::http_response> HandleRead(net::routed_request aRequest);
   boost::asio::awaitable<net::http_response> HandleList(net::routed_request aRequest);
   boost::asio::awaitable<net::http_response> HandleCancel(net::routed_request aRequest);
+  /// Takes a job whose row cannot be written, if its gang can be committed in time.
+  boost::asio::awaitable<base::reply<job>> CommitUnrecorded(job aJob);
+  boost::asio::awaitable<void> AnswerUnrecorded(net::link_ptr aLink, job aJob);
   boost::asio::awaitable<net::http_response> SubmitWithoutStore(job aJob);
+  base::milliseconds UnrecordedLimit(job const& aJob) const;
   boost::asio::awaitable<base::reply<job>> ReadJob(std::string aId);
   /// Passes a submission or a cancellation on until the scheduler has taken note of it.
   boost::asio::awaitable<bool> Pass(base::bytes aFrame, std::string aJob,
@@ -131,6 +136,8 @@
   /// Latest report of each present worker, for the case that this entry takes the role.
   std::map<std::string, task_report> mReports;
   std::map<std::string, base::result_code> mReplies;
+  /// Jobs that CommitUnrecorded is working on.
+  std::set<std::string> mUnrecorded;
   base::time_point mNextDecision{};
   base::time_point mNextAnnounce{};
   base::time_point mNextReload{};
