Requests: Take a conditional expression out of a co_await

A conditional expression was an argument inside a co_await, whose temporaries GCC 12 destroys twice.

--- a/source/requests/request_claims.cpp
+++ b/source/requests/request_claims.cpp
@@ -48,11 +48,13 @@
                                                                          std::uint64_t aRevision)
 {
   if (auto const ended = EndedEarly(*aActive)) {
-    co_return co_await GiveUp(aActive, aRevision, *ended);
+    auto result = *ended;
+    co_return co_await GiveUp(aActive, aRevision, std::move(result));
   }
   auto const chosen = Choose(*aActive);
   if (auto const* const refusal = std::get_if<result_code>(&chosen)) {
-    co_return co_await GiveUp(aActive, aRevision, Refusal(*aActive, *refusal));
+    auto result = Refusal(*aActive, *refusal);
+    co_return co_await GiveUp(aActive, aRevision, std::move(result));
   }
   aActive->BeginAttempt(NextAttempt(), std::get<router::choice>(chosen));
   auto const row = MakeRow(*aActive);
@@ -119,9 +121,13 @@
   }
   auto const isFinal = aStep == next_step::finish || EndedEarly(*aActive);
   if (isFinal || !MayRetry(*aActive, aStep)) {
+    // NOTE: A conditional expression inside co_await destroys its temporaries twice with GCC 12.
+    auto result = ResultOf(*aActive);
     auto const ended = EndedEarly(*aActive);
-    co_return co_await GiveUp(aActive, found->mRevision,
-                              aActive->mAnswer || !ended ? ResultOf(*aActive) : *ended);
+    if (!aActive->mAnswer && ended) {
+      result = *ended;
+    }
+    co_return co_await GiveUp(aActive, found->mRevision, std::move(result));
   }
   co_return claim_step{ .mRevision = found->mRevision };
 }
