Scheduling: Start placing after a takeover when the store hangs

Cause: a takeover waited for the scan of the job rows without a limit. Change: 3 s after the recovery time the scheduler goes on with what agents reported and takes the rows in when they arrive.

--- a/source/scheduling/scheduler_service.cpp
+++ b/source/scheduling/scheduler_service.cpp
@@ -24,6 +24,8 @@
 constexpr base::milliseconds kReloadPeriod{ 60'000 };
 constexpr base::milliseconds kReloadRetry{ 2000 };
 
+constexpr base::milliseconds kLoadLimit{ 3000 };
+
 // A worker whose link was cut for less than this is not taken for lost: its agent may be starting
 // again, and the gang's agents watch it themselves.
 constexpr base::milliseconds kLostAfter{ 5000 };
@@ -209,8 +211,10 @@
 
 bool scheduler_service::MayPlace(base::time_point aNow) const
 {
-  return mRole.Holds() && aNow >= mRole.Since() + mOptions.mRecoveryTime &&
-         (mIsLoaded || mLoadFailed) && mOptions.mSnapshot() != nullptr;
+  auto const recoveredAt = mRole.Since() + mOptions.mRecoveryTime;
+  // A store that hangs must not hold up what the agents' reports alone allow.
+  auto const hasRows = mIsLoaded || mLoadFailed || aNow >= recoveredAt + kLoadLimit;
+  return mRole.Holds() && aNow >= recoveredAt && hasRows && mOptions.mSnapshot() != nullptr;
 }
 
 void scheduler_service::Decide(base::time_point aNow)
