--- a/source/scheduling/tests/book_test.cpp
+++ b/source/scheduling/tests/book_test.cpp
@@ -107,6 +107,15 @@
   bool HasGang() const { return mBook.Find("j")->mGang.has_value(); }
 };
 
+/// A fault, and how the job stands after it.
+struct moment
+{
+  char const* mName;
+  std::function<void(fixture&)> mFault;
+  job_state mState;
+  bool mHasGang;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(book_test)
@@ -115,13 +124,6 @@
 // placement.
 BOOST_AUTO_TEST_CASE(PlacementFaultsByMoment)
 {
-  struct moment
-  {
-    char const* mName;
-    std::function<void(fixture&)> mFault;
-    job_state mState;
-    bool mHasGang;
-  };
   moment const kMoments[] = {
     { "reservation refused",
       [](fixture& aFixture) {
@@ -206,13 +208,6 @@
 // Guards against gangs whose end is missed, counted twice or counted as the wrong one.
 BOOST_AUTO_TEST_CASE(RunningFaultsByMoment)
 {
-  struct moment
-  {
-    char const* mName;
-    std::function<void(fixture&)> mFault;
-    job_state mState;
-    bool mHasGang;
-  };
   moment const kMoments[] = {
     { "both finish",
       [](fixture& aFixture) {
--- a/source/scheduling/tests/cluster.h
+++ b/source/scheduling/tests/cluster.h
@@ -99,14 +99,12 @@
                                                  .mBook = {} });
     mService->Register(mDispatcher);
     mService->Register(mRouter);
-    mService->Register(mDump);
     mEntries.Start();
     mService->Start();
   }
 
   scheduler_service& Service() { return *mService; }
   net::http_router const& Router() const { return mRouter; }
-  base::json Dump() const { return mDump.Collect(); }
 
 private:
   net::frame_dispatcher mDispatcher;
@@ -114,7 +112,6 @@
   std::unique_ptr<placement::policy> mPolicy;
   configuration::access_control mAccess{ "operator" };
   base::metrics_registry mMetrics;
-  base::state_dump mDump;
   net::http_router mRouter;
   std::shared_ptr<configuration::configuration_snapshot const> mSnapshot;
   membership::entry_links mEntries;
@@ -162,8 +159,6 @@
     Beat();
   }
 
-  worker_service& Service() { return *mService; }
-
 private:
   void Beat()
   {
--- a/source/scheduling/tests/gang_simulation.h
+++ b/source/scheduling/tests/gang_simulation.h
@@ -83,7 +83,6 @@
   }
   /// Longest time for which a task ran although another had not run.
   base::milliseconds LongestPartial() const { return mLongestPartial; }
-  gang_member const& Member(std::size_t aWorker) const { return *mWorkers[aWorker].mMember; }
   bool HasStarted() const { return mFirstStart.has_value(); }
 
 private:
--- a/source/scheduling/tests/loopback_test.cpp
+++ b/source/scheduling/tests/loopback_test.cpp
@@ -39,6 +39,7 @@
   BOOST_REQUIRE_EQUAL(submitted.mStatus, 201U);
   auto const id = IdOf(submitted);
   auto const runsEverywhere = [&] { return cluster.Running(0) == 4 && cluster.Running(1) == 4; };
+  auto const stopsEverywhere = [&] { return cluster.Running(0) + cluster.Running(1) == 0; };
   BOOST_REQUIRE(cluster.RunUntil(runsEverywhere, milliseconds{ 20'000 }));
   auto const finished =
     cluster.RunUntil([&] { return cluster.JobState(id) == "finished"; }, milliseconds{ 20'000 });
@@ -49,8 +50,7 @@
   auto const lost = IdOf(cluster.Submit(0, "key-2", Specification(8, 600'000)));
   BOOST_REQUIRE(cluster.RunUntil(runsEverywhere, milliseconds{ 20'000 }));
   cluster.Machines()[1].mAgent.reset();
-  auto const stopped = cluster.RunUntil(
-    [&] { return cluster.Running(0) == 0 && cluster.Running(1) == 0; }, milliseconds{ 30'000 });
+  auto const stopped = cluster.RunUntil(stopsEverywhere, milliseconds{ 30'000 });
   BOOST_REQUIRE(stopped);
   BOOST_TEST_MESSAGE("all parts stopped after " << stopped->count() << " ms");
   BOOST_TEST(stopped->count() <= (kPartialBound + kMeasuring).count());
