--- a/source/placement/guarantee_binding.cpp
+++ b/source/placement/guarantee_binding.cpp
@@ -186,14 +186,14 @@
       continue;
     }
     // One attempt per decision bounds the cost; the next one goes on with the next shape.
-    auto const old = std::exchange(shape.mParts, {});
+    auto old = std::exchange(shape.mParts, {});
     auto free = mUsable;
     for (auto const& other : mShapes) {
       Take(aTopology, free, other);
     }
     auto parts = PlaceBesideUse(aTopology, shape, free, UncoveredUse(aTopology, mShapes, aUses));
     auto const isBetter = parts && parts->size() < old.size();
-    shape.mParts = isBetter ? std::move(*parts) : old;
+    shape.mParts = std::move(isBetter ? *parts : old);
     if (isBetter) {
       Index(aTopology);
     }
--- a/source/placement/guaranteed_borrowing.cpp
+++ b/source/placement/guaranteed_borrowing.cpp
@@ -1,7 +1,6 @@
 #include "placement/guaranteed_decision.h"
 
 #include <algorithm>
-#include <limits>
 #include <queue>
 #include <tuple>
 
@@ -267,8 +266,10 @@
   double loss = 0;
   for (auto const victim : chosen->mVictims) {
     auto const& gang = mView.Gangs()[victim];
-    loss += gang.Accelerators() > kMovableGang ? std::numeric_limits<double>::infinity()
-                                               : LostWork(gang, mNow);
+    if (gang.Accelerators() > kMovableGang) {
+      return false;
+    }
+    loss += LostWork(gang, mNow);
   }
   if (gain < kMoveGain * loss) {
     return false;
--- a/source/placement/tests/faults_test.cpp
+++ b/source/placement/tests/faults_test.cpp
@@ -199,7 +199,8 @@
     world.mState.mWaiting.erase(start.mJob);
   }
   BOOST_REQUIRE(world.mState.mRunning.size() == 9U);
-  for (auto const& [name, entry] : world.mState.mWorkers) {
+  for (auto const& entry : world.mState.mWorkers) {
+    auto const& name = entry.first;
     if (std::none_of(
           world.mState.mRunning.begin(), world.mState.mRunning.end(),
           [&](auto const& aGang) { return aGang.second.mParts.front().mWorker == name; })) {
