--- a/source/daemons/agent_process.cpp
+++ b/source/daemons/agent_process.cpp
@@ -94,8 +94,7 @@
   serving.mHandler = [this](net::http_request aRequest) {
     return mProcess.Router().Handle(std::move(aRequest));
   };
-  BOOST_LEAF_ASSIGN(mHttpServer,
-                    net::http_server::Create(mProcess.Control(), std::move(serving)));
+  BOOST_LEAF_ASSIGN(mHttpServer, net::http_server::Create(mProcess.Control(), std::move(serving)));
   net::link_handlers handlers{
     .mOnFrame = [this](net::link_ptr const& aLink,
                        net::frame const& aFrame) { mDispatcher.Dispatch(aLink, aFrame); },
@@ -145,8 +144,8 @@
     }
     return {};
   };
-  mWorker = std::make_unique<scheduling::worker_service>(mProcess.Control(), *mRunner,
-                                                         std::move(options));
+  mWorker =
+    std::make_unique<scheduling::worker_service>(mProcess.Control(), *mRunner, std::move(options));
   mWorker->Register(mDispatcher);
   mWorker->Register(mProcess.StateDump());
   mWorker->Attach(mEntryLinks);
@@ -168,8 +167,7 @@
   mEntryLinks.Start();
   ScheduleBeat();
   mProcess.OnShutdown([this] { BeginShutdown(); });
-  base::Log("process")->info("Agent of {} {} started.", base::Name(mTarget.mKind),
-                             mTarget.mTarget);
+  base::Log("process")->info("Agent of {} {} started.", base::Name(mTarget.mKind), mTarget.mTarget);
 }
 
 void agent_process::AddRoutes()
--- a/source/daemons/agent_process.h
+++ b/source/daemons/agent_process.h
@@ -14,8 +14,8 @@
 
 namespace rattanpond::daemons {
 
-/// An agent: announces its target to the entries and serves it, a worker on the control thread or an
-/// executor on a traffic thread.
+/// An agent: announces its target to the entries and serves it, a worker on the control thread or
+/// an executor on a traffic thread.
 class agent_process
 {
 public:
--- a/source/daemons/entry_process.cpp
+++ b/source/daemons/entry_process.cpp
@@ -64,20 +64,28 @@
   , mTable{ mProcess.Control(), TableOptions(mSettings) }
   , mTargets{ {} }
   , mEntryLinks{ mProcess.Control(),
-                 { .mEntries = std::move(aOtherEntries),
-                   .mHello = Hello(mSettings, mIncarnation) },
+                 { .mEntries = std::move(aOtherEntries), .mHello = Hello(mSettings, mIncarnation) },
                  mDispatcher }
-  , mConfiguration{ mProcess.Control(), mTable,
+  , mConfiguration{ mProcess.Control(),
+                    mTable,
                     { .mDomainLoss = mSettings.mGuaranteesSurviveDomainLoss
                                        ? placement::domain_loss::survived
                                        : placement::domain_loss::ignored,
                       .mCheckGuarantees = &placement::CheckGuarantees,
                       .mWorkers = [this] { return KnownWorkers(); } } }
-  , mFreshness{ mProcess.Control(), mConfiguration, mTargets, mEntryLinks,
+  , mFreshness{ mProcess.Control(),
+                mConfiguration,
+                mTargets,
+                mEntryLinks,
                 { .mProcess = mSettings.mName, .mListedEntries = mSettings.mEntries.size() } }
   , mOperators{ mProcess.Control(), mConfiguration, mFreshness, mProcess.Access() }
   , mPolicy{ placement::CreatePolicy(mSettings.mPlacementPolicy, {}) }
-  , mScheduler{ mProcess.Control(), mTable, mTargets, mEntryLinks, *mPolicy, mProcess.Access(),
+  , mScheduler{ mProcess.Control(),
+                mTable,
+                mTargets,
+                mEntryLinks,
+                *mPolicy,
+                mProcess.Access(),
                 mProcess.Metrics(),
                 { .mRegion = mSettings.mRegion,
                   .mSelf = mSettings.mName + "/" + mIncarnation,
@@ -162,9 +170,8 @@
     [this](net::link_ptr const& aLink, membership::hello const& aHello) {
       mFreshness.HelloReceived(aLink, aHello);
     });
-  mTargets.Observe([this](membership::target_change, membership::known_target const&) {
-    PublishTargets();
-  });
+  mTargets.Observe(
+    [this](membership::target_change, membership::known_target const&) { PublishTargets(); });
   mConfiguration.Observe([this](configuration::snapshot_ptr const& aSnapshot) {
     for (auto const& thread : mTraffic) {
       thread->Requests().UpdateConfiguration(aSnapshot);
@@ -220,7 +227,8 @@
 
 void entry_process::BeginShutdown()
 {
-  // Requests that still arrive during the notice are served; their answers ask for a new connection.
+  // Requests that still arrive during the notice are served; their answers ask for a new
+  // connection.
   for (auto const& thread : mTraffic) {
     thread->AnnounceClose();
   }
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -41,8 +41,8 @@
 
   tcp::endpoint Endpoint() const;
 
-  /// Makes every answer from now on ask its client for a new connection, so that a balancer or client
-  /// moves to another instance before Drain.
+  /// Makes every answer from now on ask its client for a new connection, so that a balancer or
+  /// client moves to another instance before Drain.
   void AnnounceClose();
 
   /// Stops accepting, closes idle connections, and lets each running request finish with
--- a/source/scheduling/job_api.cpp
+++ b/source/scheduling/job_api.cpp
@@ -7,7 +7,8 @@
 // The HTTP interface of jobs and the notices between entries that it needs.
 
 // NOTE: GCC 12 inlines the allocation of a coroutine's frame but not its release, and then reports
-// the pair as mismatched (GCC bug 109224).
+// the pair as mismatched (GCC bug 109224). For a variant that is returned from a coroutine it
+// reports the inactive member as uninitialized.
 #pragma GCC diagnostic ignored "-Wmismatched-new-delete"
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 
