--- a/source/daemons/entry_process.cpp
+++ b/source/daemons/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "base/identifiers.h"
 #include "daemons/settings_checks.h"
+#include "scheduling/worker_description.h"
 
 #include <algorithm>
 #include <random>
@@ -273,16 +274,8 @@
 {
   std::map<std::string, placement::worker> workers;
   for (auto const& [name, target] : mTargets.Targets()) {
-    auto const& description = target.mDescription;
-    if (description.mKind == membership::target_kind::worker) {
-      workers[name] = { .mName = name,
-                        .mRegion = description.mRegion,
-                        .mDomain = description.mDomain,
-                        .mRack = description.mRack,
-                        .mKind = description.mCapacity.mKind,
-                        .mAccelerators = description.mCapacity.mAccelerators,
-                        .mCores = description.mCapacity.mCores,
-                        .mMemoryMebibytes = description.mCapacity.mMemoryMebibytes };
+    if (target.mDescription.mKind == membership::target_kind::worker) {
+      workers[name] = scheduling::WorkerOf(target.mDescription);
     }
   }
   return workers;
--- a/source/membership/target_registry.cpp
+++ b/source/membership/target_registry.cpp
@@ -30,6 +30,8 @@
       auto entry = base::Encode(target.mDescription);
       entry["queued"] = target.mQueued;
       entry["running"] = target.mRunning;
+      entry["bytes_sent"] = target.mLink->BytesSent();
+      entry["bytes_received"] = target.mLink->BytesReceived();
       entry["last_beat_ms_ago"] = (base::Now() - target.mLastBeat).count();
       document.push_back(std::move(entry));
     }
--- a/source/scheduling/job_api.cpp
+++ b/source/scheduling/job_api.cpp
@@ -181,7 +181,7 @@
   // A repetition of the submission waits for the first one's outcome.
   auto const isFirst = known == nullptr && mUnrecorded.insert(id).second;
   if (isFirst) {
-    mBook.PutTentative(std::move(aJob), base::Now());
+    mBook.PutTentative(aJob, base::Now());
     mIsDecisionDue = true;
   }
   while (true) {
--- a/source/scheduling/scheduler_service.cpp
+++ b/source/scheduling/scheduler_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/identifiers.h"
 #include "base/logging.h"
+#include "scheduling/worker_description.h"
 
 #include <algorithm>
 
@@ -271,18 +272,17 @@
   membership::target_description const& aTarget,
   configuration::configuration_snapshot const& aSnapshot) const
 {
+  auto worker = WorkerOf(aTarget);
   auto const isOpen =
     aTarget.mState == membership::target_state::serving && aSnapshot.IsInService(aTarget.mDomain);
-  return { .mName = aTarget.mTarget,
-           .mRegion = aTarget.mRegion,
-           .mDomain = aTarget.mDomain,
-           .mRack = aTarget.mRack,
-           .mKind = aTarget.mCapacity.mKind,
-           .mAccelerators = aTarget.mCapacity.mAccelerators,
-           .mCores = aTarget.mCapacity.mCores,
-           .mMemoryMebibytes = aTarget.mCapacity.mMemoryMebibytes,
-           .mAvailability = isOpen ? placement::worker_availability::available
-                                   : placement::worker_availability::closed };
+  if (!isOpen) {
+    worker.mAvailability = placement::worker_availability::closed;
+  }
+  if (auto const found = aSnapshot.mDomains.find(aTarget.mDomain);
+      found != aSnapshot.mDomains.end()) {
+    worker.mNotice = found->second.mNotice;
+  }
+  return worker;
 }
 
 void scheduler_service::Flush()
