--- a/source/scheduling/job_book.cpp
+++ b/source/scheduling/job_book.cpp
@@ -99,6 +99,14 @@
   }
 }
 
+void job_book::Forget(std::string const& aJob)
+{
+  auto const found = mEntries.find(aJob);
+  if (found != mEntries.end() && IsFinal(found->second.mJob.mState) && !found->second.mGang) {
+    mEntries.erase(found);
+  }
+}
+
 void job_book::Withdraw(std::string const& aJob, base::time_point aNow)
 {
   auto const found = mEntries.find(aJob);
--- a/source/scheduling/job_book.h
+++ b/source/scheduling/job_book.h
@@ -92,6 +92,8 @@
   /// Takes in a submission that is accepted only if its gang can be committed at once.
   void PutTentative(job const& aJob, base::time_point aNow);
   void Confirm(std::string const& aJob);
+  /// Drops a job that has ended.
+  void Forget(std::string const& aJob);
   /// Drops a tentative job and whatever was begun for it.
   void Withdraw(std::string const& aJob, base::time_point aNow);
   /// Returns false for an unknown job.
--- a/source/scheduling/job_store.cpp
+++ b/source/scheduling/job_store.cpp
@@ -141,6 +141,40 @@
   co_return last;
 }
 
+asio::awaitable<std::vector<std::string>> job_store::RemoveEnded(std::vector<job> aJobs,
+                                                                 std::int64_t aBeforeMilliseconds)
+{
+  // Bounds the reads and writes that the removal adds to one reload.
+  constexpr std::size_t kMaximumAttempts = 100;
+  std::erase_if(aJobs, [&](job const& aJob) {
+    return !IsFinal(aJob.mState) || aJob.mHistory.empty() ||
+           aJob.mHistory.back().mWallMilliseconds >= aBeforeMilliseconds;
+  });
+  aJobs.resize(std::min(aJobs.size(), kMaximumAttempts));
+  auto const living = mAlive;
+  std::vector<std::string> removed;
+  for (auto const& each : aJobs) {
+    auto const row = co_await ReadRow(each.mId);
+    if (!*living || !base::Succeeded(row)) {
+      break;
+    }
+    platform::table_transaction removal;
+    removal.mAttempt = base::RandomIdentifier();
+    removal.mWrites.emplace_back();
+    removal.mWrites.back().mKey = std::get<0>(row).mKey;
+    removal.mWrites.back().mExpectedRevision = std::get<0>(row).mRevision;
+    // A lost answer needs no settling: the next reload finds the row again or does not.
+    auto const committed = co_await mTable.CommitOnce(std::move(removal));
+    if (!*living) {
+      break;
+    }
+    if (base::Succeeded(committed)) {
+      removed.push_back(each.mId);
+    }
+  }
+  co_return removed;
+}
+
 void job_store::Update(job aJob)
 {
   auto id = aJob.mId;
--- a/source/scheduling/job_store.h
+++ b/source/scheduling/job_store.h
@@ -39,6 +39,11 @@
   /// Writes the state cancelled unless the job has ended, and returns the job.
   boost::asio::awaitable<base::reply<job>> Cancel(std::string aId);
 
+  /// Deletes the rows of jobs that ended before a wall-clock time, a bounded number of them, and
+  /// returns their ids. Their keys may then name new jobs.
+  boost::asio::awaitable<std::vector<std::string>> RemoveEnded(std::vector<job> aJobs,
+                                                               std::int64_t aBeforeMilliseconds);
+
   /// Writes the job in the background and repeats that while the store is down. The latest version
   /// wins; a final state in the row is never changed.
   void Update(job aJob);
--- a/source/scheduling/scheduler_service.cpp
+++ b/source/scheduling/scheduler_service.cpp
@@ -487,6 +487,14 @@
     }
   }
   Flush();
+  auto const endOfRetention = base::WallMilliseconds() - mOptions.mEndedRetention.count();
+  auto const removed = co_await mStore.RemoveEnded(std::get<0>(jobs), endOfRetention);
+  if (!*aAlive) {
+    co_return;
+  }
+  for (auto const& id : removed) {
+    mBook.Forget(id);
+  }
 }
 
 } // namespace rattanpond::scheduling
--- a/source/scheduling/scheduler_service.h
+++ b/source/scheduling/scheduler_service.h
@@ -47,6 +47,8 @@
     base::milliseconds mDecisionPeriod{ 250 };
     /// After a takeover, agents have this long to report before anything is placed.
     base::milliseconds mRecoveryTime{ 2000 };
+    /// Rows of ended jobs are deleted after this time.
+    base::milliseconds mEndedRetention{ 7 * 86'400'000LL };
   };
 
   scheduler_service(boost::asio::io_context& aContext, platform::table_service& aTable,
--- a/source/scheduling/tests/store_test.cpp
+++ b/source/scheduling/tests/store_test.cpp
@@ -88,6 +88,24 @@
   BOOST_TEST(tested.mStore.PendingUpdates() == 0U);
 }
 
+// Guards against rows that pile up for ever, and against the removal of a job that has not ended.
+BOOST_AUTO_TEST_CASE(OnlyOldEndedJobsAreRemoved)
+{
+  fixture tested;
+  BOOST_REQUIRE(base::Succeeded(tested.Create(Submitted())));
+  auto const removeBefore = [&](std::int64_t aTime) {
+    auto const rows = platform::Run(tested.mContext, tested.mStore.ReadAll());
+    BOOST_REQUIRE(base::Succeeded(rows));
+    platform::Run(tested.mContext, tested.mStore.RemoveEnded(std::get<0>(rows), aTime));
+    return std::get<0>(platform::Run(tested.mContext, tested.mStore.ReadAll())).size();
+  };
+  BOOST_TEST(removeBefore(base::WallMilliseconds() + 60'000) == 1U);
+  auto const cancelled = platform::Run(tested.mContext, tested.mStore.Cancel(Submitted().mId));
+  BOOST_REQUIRE(base::Succeeded(cancelled));
+  BOOST_TEST(removeBefore(base::WallMilliseconds() - 60'000) == 1U);
+  BOOST_TEST(removeBefore(base::WallMilliseconds() + 60'000) == 0U);
+}
+
 // Guards against updates that are lost in an outage, and against an old scheduler that overwrites
 // the progress of a new one.
 BOOST_AUTO_TEST_CASE(UpdatesOutlastAnOutageInOrder)
