Net: Call no handler of a destroyed dialer

Cause: the link posts its close, so its handler ran after the owner of the dialer was gone; the address sanitizer found the read after free in target_registry_test. Ruled out: the registry, which outlives the links. Change: a stopped dialer only drops its link.

Also: one function makes the gang of a started job for the policy bench, the decision bench and the random cluster of the tests, in place of three copies.

--- a/source/bench/decision_cost.cpp
+++ b/source/bench/decision_cost.cpp
@@ -165,15 +165,7 @@
     for (auto const& start : decided.mStarts) {
       auto const node = mState.mWaiting.extract(start.mJob);
       auto const& job = node.mapped();
-      mState.mRunning[start.mJob] = { .mJob = job.mJob,
-                                      .mWorkspace = job.mWorkspace,
-                                      .mUrgency = job.mUrgency,
-                                      .mShape = job.mShape,
-                                      .mParts = start.mParts,
-                                      .mTenure = start.mTenure,
-                                      .mStarted = mNow,
-                                      .mLastCheckpoint = mNow,
-                                      .mDeclaredLeft = job.mDeclaredLeft };
+      mState.mRunning[start.mJob] = placement::StartedGang(job, start, mNow);
     }
     // A stopped gang is taken to leave at once, as a job that waits again.
     for (auto const& stop : decided.mStops) {
--- a/source/bench/policy_replay.cpp
+++ b/source/bench/policy_replay.cpp
@@ -232,15 +232,7 @@
   CheckStart(aStart, traced);
   auto const waiting = mState.mWaiting.at(aStart.mJob);
   mState.mWaiting.erase(aStart.mJob);
-  mState.mRunning[aStart.mJob] = { .mJob = aStart.mJob,
-                                   .mWorkspace = traced.mWorkspace,
-                                   .mUrgency = traced.mUrgency,
-                                   .mShape = traced.mShape,
-                                   .mParts = aStart.mParts,
-                                   .mTenure = aStart.mTenure,
-                                   .mStarted = mNow,
-                                   .mLastCheckpoint = mNow,
-                                   .mDeclaredLeft = waiting.mDeclaredLeft };
+  mState.mRunning[aStart.mJob] = placement::StartedGang(waiting, aStart, mNow);
   if (!state.mHasStarted && traced.mUrgency == placement::urgency::urgent) {
     mMetrics.mUrgentStarts.push_back(Seconds(mNow - traced.mSubmitted));
   }
--- a/source/net/link_dialer.cpp
+++ b/source/net/link_dialer.cpp
@@ -61,12 +61,13 @@
       .mOnClose =
         [self = shared_from_this()](link_ptr const& aLink, base::error const& aReason) {
           self->mLink.reset();
+          if (self->mIsStopped) {
+            return;
+          }
           if (self->mOptions.mHandlers.mOnClose) {
             self->mOptions.mHandlers.mOnClose(aLink, aReason);
           }
-          if (!self->mIsStopped) {
-            self->ConnectLater();
-          }
+          self->ConnectLater();
         },
     };
     mLink = link::Start(std::move(aSocket), std::move(handlers));
--- a/source/net/link_dialer.h
+++ b/source/net/link_dialer.h
@@ -10,6 +10,7 @@
 namespace rattanpond::net {
 
 /// Keeps a link to one endpoint: connects, and connects again after each loss with a growing delay.
+/// No handler is called once the dialer is destroyed.
 class link_dialer
 {
 public:
--- a/source/placement/tests/random_cluster.h
+++ b/source/placement/tests/random_cluster.h
@@ -216,15 +216,7 @@
       return violation;
     }
     auto const& job = found->second;
-    mState.mRunning[start.mJob] = { .mJob = job.mJob,
-                                    .mWorkspace = job.mWorkspace,
-                                    .mUrgency = job.mUrgency,
-                                    .mShape = job.mShape,
-                                    .mParts = start.mParts,
-                                    .mTenure = start.mTenure,
-                                    .mStarted = mNow,
-                                    .mLastCheckpoint = mNow,
-                                    .mDeclaredLeft = job.mDeclaredLeft };
+    mState.mRunning[start.mJob] = StartedGang(job, start, mNow);
     mState.mWaiting.erase(found);
   }
   return "";
--- a/source/placement/types.h
+++ b/source/placement/types.h
@@ -126,6 +126,21 @@
   tenure mTenure = tenure::borrowed;
 };
 
+/// The gang of a waiting job that starts now.
+inline running_gang StartedGang(waiting_job const& aJob, start_gang const& aStart,
+                                base::time_point aNow)
+{
+  return { .mJob = aJob.mJob,
+           .mWorkspace = aJob.mWorkspace,
+           .mUrgency = aJob.mUrgency,
+           .mShape = aJob.mShape,
+           .mParts = aStart.mParts,
+           .mTenure = aStart.mTenure,
+           .mStarted = aNow,
+           .mLastCheckpoint = aNow,
+           .mDeclaredLeft = aJob.mDeclaredLeft };
+}
+
 enum class stop_reason
 {
   reclaim,
