--- a/source/command_line/tests/command_line_test.cpp
+++ b/source/command_line/tests/command_line_test.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <sstream>
 #include <thread>
 
@@ -45,13 +46,22 @@
     mThread.join();
   }
 
+  /// The requests so far. A copy, because the entry's own thread may be adding to them.
+  std::vector<net::http_request> Requests() const
+  {
+    std::lock_guard const lock{ mMutex };
+    return mRequests;
+  }
+
   std::string mAddress;
-  std::vector<net::http_request> mRequests;
 
 private:
   asio::awaitable<net::http_response> Answer(net::http_request aRequest)
   {
-    mRequests.push_back(std::move(aRequest));
+    {
+      std::lock_guard const lock{ mMutex };
+      mRequests.push_back(std::move(aRequest));
+    }
     // Longer than the caller waits when the answer is to be lost.
     std::this_thread::sleep_for(mDelay);
     co_return mAnswer;
@@ -59,6 +69,8 @@
 
   net::http_response mAnswer;
   base::milliseconds mDelay;
+  mutable std::mutex mMutex;
+  std::vector<net::http_request> mRequests;
   asio::io_context mContext;
   std::unique_ptr<net::http_server> mServer;
   std::thread mThread;
@@ -119,7 +131,7 @@
     auto const structured = Run({ "domain", "list", "--json" }, entry.mAddress);
     BOOST_TEST(structured.mStatus == expected.mStatus);
     BOOST_TEST(json::parse(structured.mOutput).is_object());
-    BOOST_TEST(entry.mRequests.at(0).mHeaders.Value("Authorization") == "Bearer secret");
+    BOOST_TEST(entry.Requests().at(0).mHeaders.Value("Authorization") == "Bearer secret");
   }
   BOOST_TEST(Run({ "domain", "list" }, kUnreachable).mStatus == 5);
 }
@@ -146,7 +158,7 @@
   for (auto const& arguments : kWrong) {
     BOOST_TEST(Run(arguments, entry.mAddress).mStatus == 2);
   }
-  BOOST_TEST(entry.mRequests.empty());
+  BOOST_TEST(entry.Requests().empty());
   BOOST_TEST(Run({ "domain", "list" }).mStatus == 2);
   for (auto const* const name : { "plan", "apply" }) {
     BOOST_TEST(Run({ name, "--help" }).mStatus == 0);
@@ -163,12 +175,13 @@
     std::string{ kUnreachable } + "," + silent.mAddress + "," + answering.mAddress;
   auto const sent = Run(SendCommand("--non-idempotent"), entries);
   BOOST_TEST(sent.mStatus == 0, sent.mErrors);
-  BOOST_REQUIRE(silent.mRequests.size() == 1U);
-  BOOST_REQUIRE(answering.mRequests.size() == 1U);
-  auto const key = answering.mRequests[0].mHeaders.Value("Idempotency-Key");
+  BOOST_REQUIRE(silent.Requests().size() == 1U);
+  BOOST_REQUIRE(answering.Requests().size() == 1U);
+  auto const requests = answering.Requests();
+  auto const key = requests[0].mHeaders.Value("Idempotency-Key");
   BOOST_TEST(!key.empty());
-  BOOST_TEST(silent.mRequests[0].mHeaders.Value("Idempotency-Key") == key);
-  BOOST_TEST(answering.mRequests[0].mHeaders.Value("X-Rattanpond-Idempotent") == "false");
+  BOOST_TEST(silent.Requests()[0].mHeaders.Value("Idempotency-Key") == key);
+  BOOST_TEST(answering.Requests()[0].mHeaders.Value("X-Rattanpond-Idempotent") == "false");
   // A lost answer stays unknown although a later entry cannot be reached.
   auto const lost = Run(SendCommand("--idempotent"), silent.mAddress + "," + kUnreachable);
   BOOST_TEST(lost.mStatus == 7);
@@ -181,8 +194,8 @@
   recording_entry reading{ net::JsonResponse(200, { { "version", 3 } }) };
   auto const out = Run({ "domain", "out", "zone", "--notice-ms", "500" }, reading.mAddress);
   BOOST_TEST(out.mStatus == 0);
-  BOOST_REQUIRE(reading.mRequests.size() == 2U);
-  BOOST_TEST(json::parse(reading.mRequests[1].mBody) ==
+  BOOST_REQUIRE(reading.Requests().size() == 2U);
+  BOOST_TEST(json::parse(reading.Requests()[1].mBody) ==
              (json{ { "state", "out_of_service" }, { "base_version", 3 }, { "notice_ms", 500 } }));
   auto const directory = std::filesystem::temp_directory_path() / "rattanpond-command-line-test";
   std::filesystem::create_directories(directory);
@@ -190,8 +203,8 @@
   auto const applied = Run({ "apply", directory.string(), "--json" }, reading.mAddress);
   std::filesystem::remove_all(directory);
   BOOST_TEST(applied.mStatus == 0);
-  BOOST_REQUIRE(reading.mRequests.size() == 4U);
-  auto const sent = json::parse(reading.mRequests[3].mBody);
+  BOOST_REQUIRE(reading.Requests().size() == 4U);
+  auto const sent = json::parse(reading.Requests()[3].mBody);
   BOOST_TEST(sent.at("base_version") == 3);
   BOOST_TEST(sent.at("contracts").at(0).at("workspace") == "w");
 }
