--- a/source/daemons/node_ports.h
+++ b/source/daemons/node_ports.h
@@ -10,14 +10,13 @@
   return net::ParseEndpoint(aSettings.mAddress + ":" + std::to_string(aSettings.mInternalPort));
 }
 
-/// deploy/system.toml names this port for the metrics: the tenth after the first internal one.
-inline constexpr std::uint16_t kMetricsPortOffset = 10;
+/// deploy/system.toml names this port for the metrics.
+inline constexpr std::uint16_t kMetricsPort = 7010;
 
 inline base::result<net::tcp::endpoint> MetricsEndpoint(
   platform::deployment_settings const& aSettings)
 {
-  return net::ParseEndpoint(aSettings.mAddress + ":" +
-                            std::to_string(aSettings.mInternalPort + kMetricsPortOffset));
+  return net::ParseEndpoint(aSettings.mAddress + ":" + std::to_string(kMetricsPort));
 }
 
 } // namespace rattanpond::daemons
