--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -47,11 +47,11 @@
                       "the settings name no address for callers");
   }
   auto& context = mDaemon.Control();
-  mReplica = std::make_unique<dispatch::replica>(dispatch::replica::options{
-    .mContext = context,
-    .mStore = mStore,
-    .mOnChange = [this] { mScheduler->ReplicaChanged(); },
-    .mIsWriter = [this] { return mScheduler->IsHolder(); } });
+  mReplica = std::make_unique<dispatch::replica>(
+    dispatch::replica::options{ .mContext = context,
+                                .mStore = mStore,
+                                .mOnChange = [this] { mScheduler->ReplicaChanged(); },
+                                .mIsWriter = [this] { return mScheduler->IsHolder(); } });
   mScheduler = std::make_unique<dispatch::scheduler>(
     dispatch::scheduler::options{ .mContext = context,
                                   .mStore = mStore,
@@ -82,12 +82,12 @@
                                           },
                                         .mMaximumBodyBytes = mSettings.mMaximumBodyBytes }));
   BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
-  BOOST_LEAF_ASSIGN(mMetricsServer,
-                    net::http_server::Create(context, { .mEndpoint = metrics,
-                                                        .mHandler = [this](net::http_request aRequest) {
-                                                          return mDaemon.Router().Handle(
-                                                            std::move(aRequest));
-                                                        } }));
+  BOOST_LEAF_ASSIGN(
+    mMetricsServer,
+    net::http_server::Create(
+      context, { .mEndpoint = metrics, .mHandler = [this](net::http_request aRequest) {
+                  return mDaemon.Router().Handle(std::move(aRequest));
+                } }));
   mDaemon.OnShutdown([this] {
     asio::co_spawn(
       mDaemon.Control(), [this] { return Shutdown(); }, asio::detached);
--- a/source/daemons/side_process.cpp
+++ b/source/daemons/side_process.cpp
@@ -53,10 +53,8 @@
   BOOST_LEAF_CHECK(mAgent->Start(links));
   platform::AddHeartbeatRoutes(
     mHeartbeatRouter,
-    { .mOnHeartbeat =
-        [this](std::string const& aWorker, std::string const& aBody) {
-          mAgent->Heartbeat(aWorker, aBody);
-        },
+    { .mOnHeartbeat = [this](std::string const& aWorker,
+                             std::string const& aBody) { mAgent->Heartbeat(aWorker, aBody); },
       .mOnLeave = [this](std::string const& aWorker) { mAgent->Leave(aWorker); } });
   BOOST_LEAF_ASSIGN(
     mHeartbeatServer,
@@ -67,12 +65,12 @@
                                           },
                                         .mMaximumBodyBytes = kLargestHeartbeatBytes }));
   BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
-  BOOST_LEAF_ASSIGN(mMetricsServer,
-                    net::http_server::Create(context, { .mEndpoint = metrics,
-                                                        .mHandler = [this](net::http_request aRequest) {
-                                                          return mDaemon.Router().Handle(
-                                                            std::move(aRequest));
-                                                        } }));
+  BOOST_LEAF_ASSIGN(
+    mMetricsServer,
+    net::http_server::Create(
+      context, { .mEndpoint = metrics, .mHandler = [this](net::http_request aRequest) {
+                  return mDaemon.Router().Handle(std::move(aRequest));
+                } }));
   mDaemon.StateDump().Register("side", [this] { return mAgent->Dump(); });
   mDaemon.OnReload([this] {
     auto loaded = base::Capture([] { return platform::LoadDeploymentSettings(); });
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -66,7 +66,8 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-/// Takes effect only if the job is not known, and if the configuration that admitted it is in force.
+/// Takes effect only if the job is not known, and if the configuration that admitted it is in
+/// force.
 platform::row_transaction AcceptTransaction(std::string const& aId, job_description const& aJob,
                                             std::uint64_t aConfigurationRow)
 {
@@ -206,8 +207,7 @@
     job.mWorkspace = aCall.mWorkspace == nullptr ? "" : aCall.mWorkspace->mName;
     job.mAcceptedWallMs = base::WallMilliseconds();
     auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow);
-    auto const timeout =
-      std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
+    auto const timeout = std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
     auto const result = co_await mOptions.mStore.Commit(std::move(transaction), timeout);
     auto const took = (base::Now() - started).count();
     if (result.mOutcome == commit_outcome::committed ||
@@ -263,8 +263,7 @@
       co_return Plain(200, "cancelled");
     }
     auto transaction = CancelTransaction(id);
-    auto const timeout =
-      std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
+    auto const timeout = std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
     auto const result = co_await mOptions.mStore.Commit(std::move(transaction), timeout);
     if (result.mOutcome == commit_outcome::committed ||
         result.mOutcome == commit_outcome::conflict) {
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -112,16 +112,15 @@
 
   static constexpr auto Fields()
   {
-    return std::make_tuple(
-      base::Required("queue", &job_description::mQueue),
-      base::Field("service", &job_description::mService),
-      base::Field("workspace", &job_description::mWorkspace),
-      base::Field("command", &job_description::mCommand),
-      base::Required("steps", &job_description::mSteps),
-      base::Field("occurrences", &job_description::mOccurrences, { 0, 1000 }),
-      base::Field("first_due_wall_ms", &job_description::mFirstDueWallMs),
-      base::Field("interval_ms", &job_description::mInterval),
-      base::Field("accepted_wall_ms", &job_description::mAcceptedWallMs));
+    return std::make_tuple(base::Required("queue", &job_description::mQueue),
+                           base::Field("service", &job_description::mService),
+                           base::Field("workspace", &job_description::mWorkspace),
+                           base::Field("command", &job_description::mCommand),
+                           base::Required("steps", &job_description::mSteps),
+                           base::Field("occurrences", &job_description::mOccurrences, { 0, 1000 }),
+                           base::Field("first_due_wall_ms", &job_description::mFirstDueWallMs),
+                           base::Field("interval_ms", &job_description::mInterval),
+                           base::Field("accepted_wall_ms", &job_description::mAcceptedWallMs));
   }
 };
 
@@ -179,8 +178,7 @@
 
 inline bool IsFinal(job_phase aPhase)
 {
-  return aPhase == job_phase::done || aPhase == job_phase::failed ||
-         aPhase == job_phase::cancelled;
+  return aPhase == job_phase::done || aPhase == job_phase::failed || aPhase == job_phase::cancelled;
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -84,8 +84,7 @@
   return mTasks[aOccurrence][aStep];
 }
 
-void job_record::ForEachTask(
-  std::function<void(task_position const&, tracked_task&)> const& aVisit)
+void job_record::ForEachTask(std::function<void(task_position const&, tracked_task&)> const& aVisit)
 {
   task_position position;
   for (position.mOccurrence = 0; position.mOccurrence < mTasks.size(); ++position.mOccurrence) {
@@ -107,8 +106,9 @@
 
 bool job_record::IsStepReady(std::uint32_t aOccurrence, std::uint32_t aStep) const
 {
-  return std::ranges::all_of(mDescription.mSteps[aStep].mAfter,
-                             [&](std::uint32_t aEarlier) { return IsStepDone(aOccurrence, aEarlier); });
+  return std::ranges::all_of(mDescription.mSteps[aStep].mAfter, [&](std::uint32_t aEarlier) {
+    return IsStepDone(aOccurrence, aEarlier);
+  });
 }
 
 bool job_record::IsWholeDone() const
--- a/source/dispatch/lease_terms.h
+++ b/source/dispatch/lease_terms.h
@@ -25,8 +25,8 @@
 /// Longest real time in which a lease of a given length on the worker's clock runs out.
 inline base::milliseconds RealTime(base::milliseconds aOnWorkerClock)
 {
-  return base::milliseconds{ static_cast<std::int64_t>(
-    static_cast<double>(aOnWorkerClock.count()) / kSlowestClock) };
+  return base::milliseconds{ static_cast<std::int64_t>(static_cast<double>(aOnWorkerClock.count()) /
+                                                       kSlowestClock) };
 }
 
 /// After this time without a report, nothing that was started before can still run.
--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -52,11 +52,10 @@
 
   static constexpr auto Fields()
   {
-    return std::make_tuple(base::Field("number", &ended_run::mNumber),
-                           base::Field("task", &ended_run::mTask),
-                           base::Field("run", &ended_run::mRun),
-                           base::Field("end", &ended_run::mEnd),
-                           base::Field("checkpoint", &ended_run::mCheckpoint));
+    return std::make_tuple(
+      base::Field("number", &ended_run::mNumber), base::Field("task", &ended_run::mTask),
+      base::Field("run", &ended_run::mRun), base::Field("end", &ended_run::mEnd),
+      base::Field("checkpoint", &ended_run::mCheckpoint));
   }
 };
 
@@ -128,8 +127,7 @@
       base::Field("sequence", &side_report::mSequence), base::Field("node", &side_report::mNode),
       base::Field("domain", &side_report::mDomain), base::Field("worker", &side_report::mWorker),
       base::Field("born", &side_report::mBorn), base::Field("service", &side_report::mService),
-      base::Field("state", &side_report::mState),
-      base::Field("capacity", &side_report::mCapacity),
+      base::Field("state", &side_report::mState), base::Field("capacity", &side_report::mCapacity),
       base::Field("labels", &side_report::mLabels),
       base::Field("has_lists", &side_report::mHasLists),
       base::Field("running", &side_report::mRunning), base::Field("ended", &side_report::mEnded),
@@ -217,9 +215,10 @@
 struct rattanpond::base::enum_names<rattanpond::dispatch::run_end>
 {
   using end = rattanpond::dispatch::run_end;
-  static constexpr enum_name<end> kTable[] = { { end::done, "done" },       { end::failed, "failed" },
-                                               { end::stopped, "stopped" }, { end::lapsed, "lapsed" },
-                                               { end::broken, "broken" },   { end::alone, "alone" } };
+  static constexpr enum_name<end> kTable[] = {
+    { end::done, "done" },     { end::failed, "failed" }, { end::stopped, "stopped" },
+    { end::lapsed, "lapsed" }, { end::broken, "broken" }, { end::alone, "alone" }
+  };
 };
 
 template<>
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -86,9 +86,8 @@
       }
     };
     if (!aGroup.mShape->mDataRack.empty()) {
-      keepIfAny([&](std::size_t aIndex) {
-        return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack;
-      });
+      keepIfAny(
+        [&](std::size_t aIndex) { return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack; });
     }
     if (!aGroup.mFailedOn.empty()) {
       keepIfAny([&](std::size_t aIndex) {
@@ -192,10 +191,9 @@
   {
     mFree[aWorker] -= aGroup.mShape->mNeed;
     mSoon[aWorker] -= aGroup.mShape->mNeed;
-    mDecision.mStarts.push_back(
-      { aGroup.mJob,
-        { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
-        mWorkers[aWorker].mWorker });
+    mDecision.mStarts.push_back({ aGroup.mJob,
+                                  { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
+                                  mWorkers[aWorker].mWorker });
   }
 
   /// Keeps room for a group that waits for runs to stop.
@@ -219,9 +217,8 @@
   void ServeGang(waiting_group const& aGroup)
   {
     auto domains = Domains(aGroup, Candidates(aGroup));
-    std::ranges::stable_sort(domains, {}, [&](positions const& aMembers) {
-      return FreeAccelerators(aMembers);
-    });
+    std::ranges::stable_sort(domains, {},
+                             [&](positions const& aMembers) { return FreeAccelerators(aMembers); });
     for (auto const& members : domains) {
       if (auto const chosen = Fit(aGroup, members, mFree)) {
         for (std::size_t task = 0; task < chosen->size(); ++task) {
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -86,8 +86,8 @@
     .mChanges = { { kTable, kTermKey, base::Encode(term).dump() } },
   };
   auto const result = co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
-  base::Log("scheduler")->info("take-term number={} outcome={}", number,
-                               static_cast<int>(result.mOutcome));
+  base::Log("scheduler")
+    ->info("take-term number={} outcome={}", number, static_cast<int>(result.mOutcome));
   // Whatever the outcome, the followed rows tell who holds the term: they also contain all that the
   // former holder wrote.
   if (result.mOutcome == commit_outcome::conflict) {
@@ -130,8 +130,9 @@
       mEndedJobs[id] = mHolderSince;
     }
   }
-  base::Log("scheduler")->info("holder term={} jobs={} sides={}", mTerm,
-                               mOptions.mReplica.Jobs().size(), mOptions.mReplica.Sides().size());
+  base::Log("scheduler")
+    ->info("holder term={} jobs={} sides={}", mTerm, mOptions.mReplica.Jobs().size(),
+           mOptions.mReplica.Sides().size());
 }
 
 void scheduler::StepDown(std::string const& aReason)
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -108,8 +108,7 @@
     conditions.push_back({ platform::kOperatorTable, platform::kConfigurationKey,
                            mOptions.mReplica.ConfigurationRowVersion() });
     for (auto const& domain : domains) {
-      conditions.push_back(
-        { platform::kOperatorTable, platform::kEvacuationPrefix + domain, 0 });
+      conditions.push_back({ platform::kOperatorTable, platform::kEvacuationPrefix + domain, 0 });
     }
   }
   // Ends are acknowledged only when no job that they touch waits for a later transaction.
@@ -145,8 +144,9 @@
     case commit_outcome::refused:
     case commit_outcome::unknown:
       // The same transaction again: its conditions keep it from taking effect twice.
-      base::Log("scheduler")->warn("commit-pending jobs={} outcome={}", mBatch->mJobs.size(),
-                                   static_cast<int>(result.mOutcome));
+      base::Log("scheduler")
+        ->warn("commit-pending jobs={} outcome={}", mBatch->mJobs.size(),
+               static_cast<int>(result.mOutcome));
       break;
   }
 }
@@ -198,18 +198,20 @@
   mBatch.reset();
   for (auto const& row : aCurrent) {
     if (row.mTable == kTable && row.mKey.starts_with(kStatePrefix)) {
-      auto* const job = mOptions.mReplica.FindJob(row.mKey.substr(std::string{ kStatePrefix }.size()));
+      auto* const job =
+        mOptions.mReplica.FindJob(row.mKey.substr(std::string{ kStatePrefix }.size()));
       if (job != nullptr && job->StateVersion() != row.mVersion) {
-        base::Log("scheduler")->error("state-of-other-writer job={} version={} held={}", job->Id(),
-                                      row.mVersion, job->StateVersion());
+        base::Log("scheduler")
+          ->error("state-of-other-writer job={} version={} held={}", job->Id(), row.mVersion,
+                  job->StateVersion());
         mOptions.mReplica.Apply(aCurrent);
         StepDown("another process wrote the state of a job");
         return;
       }
     }
   }
-  base::Log("scheduler")->info("commit-conflict jobs={} starts={}", conflicted.mJobs.size(),
-                               conflicted.mStarts.size());
+  base::Log("scheduler")
+    ->info("commit-conflict jobs={} starts={}", conflicted.mJobs.size(), conflicted.mStarts.size());
   // Nothing was ordered yet; the tasks wait again and are planned with what is known now.
   for (auto const& start : conflicted.mStarts) {
     auto* const job = mOptions.mReplica.FindJob(start.mJob);
@@ -252,9 +254,9 @@
                                .mCommand = job->Description().mCommand,
                                .mCheckpoint = task->mState.mCheckpoint });
   mOptions.mMetrics.Counter("rattanpond_starts").Add();
-  base::Log("scheduler")->info("start task={} run={} node={} born={} term={} waited_ms={}", name,
-                               aStart.mRun, aStart.mNode, task->mState.mWorkerBorn, mTerm,
-                               (now - job->mSeenAt).count());
+  base::Log("scheduler")
+    ->info("start task={} run={} node={} born={} term={} waited_ms={}", name, aStart.mRun,
+           aStart.mNode, task->mState.mWorkerBorn, mTerm, (now - job->mSeenAt).count());
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -111,9 +111,8 @@
       urgent.push_back(job.get());
     }
   }
-  std::ranges::stable_sort(urgent, {}, [](job_record* aJob) {
-    return aJob->Description().mAcceptedWallMs;
-  });
+  std::ranges::stable_sort(urgent, {},
+                           [](job_record* aJob) { return aJob->Description().mAcceptedWallMs; });
   std::map<std::string, std::int64_t> used;
   std::set<std::string> guaranteed;
   for (auto* const job : urgent) {
@@ -216,12 +215,12 @@
       auto& run = runs[position];
       run.mTasks.push_back(aPosition);
       run.mWorkers.push_back(aTask.mState.mWorker);
-      run.mIsStopping = run.mIsStopping || aTask.mContact == run_contact::stopping ||
-                        IsFinal(job->Phase());
+      run.mIsStopping =
+        run.mIsStopping || aTask.mContact == run_contact::stopping || IsFinal(job->Phase());
       auto const since = aTask.mStartedAt == base::time_point{} ? aNow : aTask.mStartedAt;
       auto const seconds = static_cast<double>((aNow - since).count()) / kMillisecondsPerSecond;
-      run.mLostWork += WeightInCores(step.mNeed) * seconds *
-                       (step.mIsCheckpointable ? kLossWithCheckpoint : 1.0);
+      run.mLostWork +=
+        WeightInCores(step.mNeed) * seconds * (step.mIsCheckpointable ? kLossWithCheckpoint : 1.0);
     });
   }
   return runs;
@@ -246,8 +245,7 @@
     auto run = task.mState.mRun + 1;
     auto& session = *mSessions.at(start.mWorker);
     if (job.Step(start.mPosition).mIsGang) {
-      auto& shared =
-        gangRuns[{ start.mJob, start.mPosition.mOccurrence, start.mPosition.mStep }];
+      auto& shared = gangRuns[{ start.mJob, start.mPosition.mOccurrence, start.mPosition.mStep }];
       if (shared == 0) {
         auto const& members = job.Tasks(start.mPosition.mOccurrence, start.mPosition.mStep);
         std::string checkpoint;
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -26,8 +26,7 @@
 
 } // namespace
 
-void scheduler::HandleFrame(std::string const& aNode, net::link_ptr const& aLink,
-                            net::frame aFrame)
+void scheduler::HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame)
 {
   auto const found = mSessions.find(aNode);
   if (found == mSessions.end() || aFrame.mType != side_report::kType) {
@@ -35,8 +34,8 @@
   }
   auto decoded = base::Capture([&] { return net::DecodeMessage<side_report>(aFrame); });
   if (!base::Succeeded(decoded)) {
-    base::Log("scheduler")->warn("report-unreadable node={} reason={}", aNode,
-                                 base::Error(decoded).mMessage);
+    base::Log("scheduler")
+      ->warn("report-unreadable node={} reason={}", aNode, base::Error(decoded).mMessage);
     aLink->Close(base::Error(decoded));
     return;
   }
@@ -49,8 +48,9 @@
   auto const now = base::Now();
   if (aReport.mState != aSession.mReport.mState || aReport.mBorn != aSession.mReport.mBorn ||
       !aSession.mHasReport) {
-    base::Log("scheduler")->info("worker node={} worker={} born={} state={}", aSession.mNode,
-                                 aReport.mWorker, aReport.mBorn, base::Name(aReport.mState));
+    base::Log("scheduler")
+      ->info("worker node={} worker={} born={} state={}", aSession.mNode, aReport.mWorker,
+             aReport.mBorn, base::Name(aReport.mState));
   }
   if (aReport.mBorn > aSession.mReport.mBorn) {
     ReplaceIncarnation(aSession, aReport.mBorn);
@@ -88,8 +88,8 @@
   aSession.mHealth = {};
   for (auto& [id, job] : mOptions.mReplica.Jobs()) {
     job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      if (aTask.mState.mStatus == task_status::active &&
-          aTask.mState.mWorker == aSession.mNode && aTask.mState.mWorkerBorn < aBorn) {
+      if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aSession.mNode &&
+          aTask.mState.mWorkerBorn < aBorn) {
         EndWithoutResult(*job, aPosition, "the worker's incarnation is gone");
       }
     });
@@ -110,8 +110,9 @@
     if (task == nullptr || task->mState.mStatus != task_status::active ||
         task->mState.mRun != end.mRun || task->mState.mWorker != aSession.mNode ||
         task->mState.mWorkerBorn != report.mBorn) {
-      base::Log("scheduler")->info("end-of-other-run task={} run={} end={} node={}", end.mTask,
-                                   end.mRun, base::Name(end.mEnd), aSession.mNode);
+      base::Log("scheduler")
+        ->info("end-of-other-run task={} run={} end={} node={}", end.mTask, end.mRun,
+               base::Name(end.mEnd), aSession.mNode);
       continue;
     }
     NoteEnd(*job, parsed->mPosition, end);
@@ -127,9 +128,9 @@
   auto& task = *aJob.Find(aPosition);
   auto const& step = aJob.Step(aPosition);
   auto const now = base::Now();
-  base::Log("scheduler")->info("end task={} run={} end={} node={} after_ms={}", aEnd.mTask,
-                               aEnd.mRun, base::Name(aEnd.mEnd), task.mState.mWorker,
-                               (now - task.mStartedAt).count());
+  base::Log("scheduler")
+    ->info("end task={} run={} end={} node={} after_ms={}", aEnd.mTask, aEnd.mRun,
+           base::Name(aEnd.mEnd), task.mState.mWorker, (now - task.mStartedAt).count());
   mOptions.mMetrics.Counter("rattanpond_ends_" + std::string{ base::Name(aEnd.mEnd) }).Add();
   if (!aEnd.mCheckpoint.empty()) {
     task.mState.mCheckpoint = aEnd.mCheckpoint;
@@ -163,9 +164,8 @@
 {
   auto const& step = aJob.Step(aPosition);
   // A gang fails as a whole; its failures are counted at its first member.
-  auto const counted = step.mIsGang
-                         ? task_position{ aPosition.mOccurrence, aPosition.mStep, 0 }
-                         : aPosition;
+  auto const counted =
+    step.mIsGang ? task_position{ aPosition.mOccurrence, aPosition.mStep, 0 } : aPosition;
   auto& task = *aJob.Find(counted);
   ++task.mState.mFailures;
   auto const* const queue = QueueOf(aJob);
@@ -173,8 +173,9 @@
   if (step.mIsLongRunning || task.mState.mFailures < limit || IsFinal(aJob.Phase())) {
     return;
   }
-  base::Log("scheduler")->info("job-failed job={} task={} failures={}", aJob.Id(),
-                               TaskName(aJob.Id(), aPosition), task.mState.mFailures);
+  base::Log("scheduler")
+    ->info("job-failed job={} task={} failures={}", aJob.Id(), TaskName(aJob.Id(), aPosition),
+           task.mState.mFailures);
   aJob.SetPhase(job_phase::failed);
   aJob.ForEachTask([&](task_position const& aOther, tracked_task& aTask) {
     if (aTask.mState.mStatus == task_status::active) {
@@ -187,9 +188,9 @@
                                  std::string const& aWhy)
 {
   auto& task = *aJob.Find(aPosition);
-  base::Log("scheduler")->info("run-over task={} run={} node={} why=\"{}\"",
-                               TaskName(aJob.Id(), aPosition), task.mState.mRun,
-                               task.mState.mWorker, aWhy);
+  base::Log("scheduler")
+    ->info("run-over task={} run={} node={} why=\"{}\"", TaskName(aJob.Id(), aPosition),
+           task.mState.mRun, task.mState.mWorker, aWhy);
   task.mState.mStatus = task_status::waiting;
   if (!task.mSeenCheckpoint.empty()) {
     task.mState.mCheckpoint = task.mSeenCheckpoint;
@@ -212,8 +213,7 @@
   }
 }
 
-void scheduler::OrderStop(job_record& aJob, task_position const& aPosition,
-                          std::string const& aWhy)
+void scheduler::OrderStop(job_record& aJob, task_position const& aPosition, std::string const& aWhy)
 {
   auto& task = *aJob.Find(aPosition);
   if (task.mState.mStatus != task_status::active || task.mContact == run_contact::stopping) {
@@ -227,8 +227,9 @@
   task.mContact = run_contact::stopping;
   task.mContactSince = base::Now();
   auto const name = TaskName(aJob.Id(), aPosition);
-  base::Log("scheduler")->info("stop task={} run={} node={} why=\"{}\"", name, task.mState.mRun,
-                               task.mState.mWorker, aWhy);
+  base::Log("scheduler")
+    ->info("stop task={} run={} node={} why=\"{}\"", name, task.mState.mRun, task.mState.mWorker,
+           aWhy);
   found->second->mStops.push_back({ name, task.mState.mRun });
   Pump();
 }
@@ -241,16 +242,16 @@
     auto* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
     auto* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
     auto const isOurs = task != nullptr && task->mState.mStatus == task_status::active &&
-                        task->mState.mRun == run.mRun &&
-                        task->mState.mWorker == aSession.mNode &&
+                        task->mState.mRun == run.mRun && task->mState.mWorker == aSession.mNode &&
                         task->mState.mWorkerBorn == aSession.mReport.mBorn;
     if (!isOurs) {
       auto const isGangPast = task != nullptr && task->mState.mStatus == task_status::done &&
                               task->mState.mRun == run.mRun;
       if (!isGangPast) {
         aSession.mStops.push_back({ run.mTask, run.mRun });
-        base::Log("scheduler")->info("stop task={} run={} node={} why=\"not the current run\"",
-                                     run.mTask, run.mRun, aSession.mNode);
+        base::Log("scheduler")
+          ->info("stop task={} run={} node={} why=\"not the current run\"", run.mTask, run.mRun,
+                 aSession.mNode);
       }
       continue;
     }
@@ -284,9 +285,9 @@
       continue;
     }
     if (result.mOutcome != order_outcome::started) {
-      base::Log("scheduler")->info("order-result task={} run={} node={} outcome={} detail={}",
-                                   result.mTask, result.mRun, aSession.mNode,
-                                   base::Name(result.mOutcome), result.mDetail);
+      base::Log("scheduler")
+        ->info("order-result task={} run={} node={} outcome={} detail={}", result.mTask,
+               result.mRun, aSession.mNode, base::Name(result.mOutcome), result.mDetail);
     }
     auto const isListed = aListed.contains(RunKey(result.mTask, result.mRun));
     switch (result.mOutcome) {
@@ -411,9 +412,8 @@
       }
       // A side that cannot reach its worker does not renew; one that is silent may for a while.
       auto const lapsesAt =
-        std::max(session->mReportedAt + (session->mReport.mState == worker_state::absent
-                                           ? milliseconds{ 0 }
-                                           : lapse),
+        std::max(session->mReportedAt +
+                   (session->mReport.mState == worker_state::absent ? milliseconds{ 0 } : lapse),
                  session->mLeaseLapsesAt);
       if (aNow > lapsesAt && aTask.mContact != run_contact::planned) {
         EndWithoutResult(*job, aPosition, "the lease has lapsed");
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -95,9 +95,10 @@
     return;
   }
   auto const& heartbeat = std::get<0>(parsed);
-  auto const isOlder = mHeartbeat && (heartbeat.mBorn < mHeartbeat->mBorn ||
-                                      (heartbeat.mBorn == mHeartbeat->mBorn &&
-                                       heartbeat.mSequence <= mHeartbeat->mSequence));
+  auto const isOlder =
+    mHeartbeat &&
+    (heartbeat.mBorn < mHeartbeat->mBorn ||
+     (heartbeat.mBorn == mHeartbeat->mBorn && heartbeat.mSequence <= mHeartbeat->mSequence));
   if (isOlder || heartbeat.mDomain != mOptions.mSettings.mFailureDomain) {
     return;
   }
@@ -456,8 +457,8 @@
     auto const deadline = NextDeadline();
     mLease.mLatestDeadlineMs = std::max(mLease.mLatestDeadlineMs, deadline);
     auto const sentAt = base::Now();
-    auto const answer = co_await mWorker->Start(
-      worker, aOrder, { .mFence = mTerm, .mDeadlineMs = deadline });
+    auto const answer =
+      co_await mWorker->Start(worker, aOrder, { .mFence = mTerm, .mDeadlineMs = deadline });
     mOptions.mMetrics.Histogram("rattanpond_start_call_seconds")
       .Record(static_cast<double>((base::Now() - sentAt).count()) / 1000.0);
     result.mDetail = answer.mDetail;
--- a/source/net/link_dialer.cpp
+++ b/source/net/link_dialer.cpp
@@ -31,19 +31,18 @@
         socket->cancel(ignored);
       }
     });
-    socket->async_connect(mOptions.mEndpoint,
-                          [self = shared_from_this(), socket,
-                           limit](boost::system::error_code aFailure) {
-                            limit->cancel();
-                            if (self->mIsStopped) {
-                              return;
-                            }
-                            if (aFailure) {
-                              self->ConnectLater();
-                              return;
-                            }
-                            self->Open(std::move(*socket));
-                          });
+    socket->async_connect(mOptions.mEndpoint, [self = shared_from_this(), socket,
+                                               limit](boost::system::error_code aFailure) {
+      limit->cancel();
+      if (self->mIsStopped) {
+        return;
+      }
+      if (aFailure) {
+        self->ConnectLater();
+        return;
+      }
+      self->Open(std::move(*socket));
+    });
   }
 
   void Stop()
--- a/source/platform/instance_routes.cpp
+++ b/source/platform/instance_routes.cpp
@@ -17,15 +17,14 @@
 
 void AddHeartbeatRoutes(net::http_router& aRouter, heartbeat_handlers aHandlers)
 {
-  aRouter.Add("PUT", "/api/instances/{worker}",
-              [handler = aHandlers.mOnHeartbeat](
-                routed_request aRequest) -> awaitable<http_response> {
-                handler(aRequest.mPath["worker"], aRequest.mRequest.mBody);
-                co_return net::JsonResponse(200, base::json::object());
-              });
+  aRouter.Add(
+    "PUT", "/api/instances/{worker}",
+    [handler = aHandlers.mOnHeartbeat](routed_request aRequest) -> awaitable<http_response> {
+      handler(aRequest.mPath["worker"], aRequest.mRequest.mBody);
+      co_return net::JsonResponse(200, base::json::object());
+    });
   aRouter.Add("DELETE", "/api/instances/{worker}",
-              [handler = aHandlers.mOnLeave](
-                routed_request aRequest) -> awaitable<http_response> {
+              [handler = aHandlers.mOnLeave](routed_request aRequest) -> awaitable<http_response> {
                 handler(aRequest.mPath["worker"]);
                 co_return net::JsonResponse(200, base::json::object());
               });
--- a/source/platform/json_reader.h
+++ b/source/platform/json_reader.h
@@ -82,7 +82,7 @@
     if (member.is_null()) {
       return aDefault;
     }
-    bool const matches = std::same_as<T, bool>   ? member.is_boolean()
+    bool const matches = std::same_as<T, bool>     ? member.is_boolean()
                          : std::same_as<T, double> ? member.is_number()
                                                    : member.is_string();
     if (!matches) {
--- a/source/platform/operator_rows.cpp
+++ b/source/platform/operator_rows.cpp
@@ -34,7 +34,8 @@
                          .mHost = reader.RequiredText("host"),
                          .mPrefix = reader.RequiredText("prefix"),
                          .mService = reader.Text("service") };
-  queue.mPriority = static_cast<std::uint32_t>(std::max<std::int64_t>(0, reader.Integer("priority")));
+  queue.mPriority =
+    static_cast<std::uint32_t>(std::max<std::int64_t>(0, reader.Integer("priority")));
   queue.mMaximumAttempts =
     static_cast<std::uint32_t>(std::max<std::int64_t>(1, reader.Integer("max_attempts", 1)));
   queue.mStretch = reader.Number("stretch", 1.0);
@@ -96,8 +97,8 @@
   auto const& limits = reader.Member("limits");
   if (limits.is_object()) {
     json_reader sizes{ limits };
-    configuration.mMaximumBodyBytes = static_cast<std::size_t>(sizes.Integer(
-      "max_body_bytes", static_cast<std::int64_t>(configuration.mMaximumBodyBytes)));
+    configuration.mMaximumBodyBytes = static_cast<std::size_t>(
+      sizes.Integer("max_body_bytes", static_cast<std::int64_t>(configuration.mMaximumBodyBytes)));
     failure.Take(sizes, "limits");
   }
   failure.Take(reader, "configuration");
--- a/source/platform/worker_client.cpp
+++ b/source/platform/worker_client.cpp
@@ -243,8 +243,8 @@
   if (aValues.mWait.count() > 0) {
     body["wait_ms"] = aValues.mWait.count();
   }
-  auto const answer = co_await mClient.Send(Call("/api/hold", aWorker, body),
-                                            aValues.mWait + kHoldAllowance);
+  auto const answer =
+    co_await mClient.Send(Call("/api/hold", aWorker, body), aValues.mWait + kHoldAllowance);
   hold_answer result;
   if (!base::Succeeded(answer)) {
     co_return result;
