--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -88,6 +88,20 @@
   return transaction;
 }
 
+/// What a job asks for, in one line of the log.
+std::string Outline(job_description const& aJob)
+{
+  std::string text = "occurrences=" + std::to_string(aJob.mOccurrences) + " steps=";
+  for (auto const& step : aJob.mSteps) {
+    text += std::to_string(step.mCount) + "x" + std::to_string(step.mNeed.mAccelerators) + "acc/" +
+            std::to_string(step.mNeed.mMillicores) + "mc/" +
+            std::to_string(step.mEstimate.count()) + "ms" + (step.mIsGang ? "/gang" : "") +
+            (step.mIsSameRack ? "/rack" : "") + (step.mIsCheckpointable ? "/checkpoint" : "") +
+            (step.mIsLongRunning ? "/long" : "") + (step.mFillsIdle ? "/fills" : "") + ";";
+  }
+  return text;
+}
+
 bool Contains(std::vector<platform::store_row> const& aRows, std::string const& aKey)
 {
   return std::ranges::any_of(aRows, [&](platform::store_row const& aRow) {
@@ -212,10 +226,10 @@
     auto const took = (base::Now() - started).count();
     if (result.mOutcome == commit_outcome::committed ||
         Contains(result.mCurrent, kJobPrefix + id)) {
-      base::Log("caller")->info("submit job={} queue={} workspace={} configuration={} status=200 "
-                                "tasks={} took_ms={}",
-                                id, job.mQueue, job.mWorkspace, aCall.mConfiguration->mVersion,
-                                job.mSteps.front().mCount, took);
+      base::Log("caller")->info(
+        "submit job={} queue={} priority={} workspace={} configuration={} status=200 {} took_ms={}",
+        id, job.mQueue, aCall.mQueue->mPriority, job.mWorkspace, aCall.mConfiguration->mVersion,
+        Outline(job), took);
       mOptions.mMetrics.Histogram("rattanpond_accept_seconds")
         .Record(static_cast<double>(took) / 1000.0);
       co_return Plain(200, "accepted");
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -227,7 +227,7 @@
         return;
       }
     }
-    if (aGroup.mIsGuaranteed) {
+    if (MayPreempt(aGroup)) {
       Reclaim(aGroup, domains);
     }
   }
@@ -245,7 +245,7 @@
       ++placed[*best];
       Start(aGroup, task, *best);
     }
-    if (task < aGroup.mIndexes.size() && aGroup.mIsGuaranteed) {
+    if (task < aGroup.mIndexes.size() && MayPreempt(aGroup)) {
       auto rest = aGroup;
       rest.mIndexes.erase(rest.mIndexes.begin(),
                           rest.mIndexes.begin() + static_cast<std::ptrdiff_t>(task));
@@ -261,9 +261,15 @@
     double mLostWork = 0;
   };
 
-  bool MayStop(waiting_group const& aGroup, preemptible_run const& aRun) const
+  static bool MayPreempt(waiting_group const& aGroup)
   {
-    return aRun.mPriority > aGroup.mPriority || !aRun.mIsGuaranteed;
+    return aGroup.mIsGuaranteed || aGroup.mPreemptionBudget > 0;
+  }
+
+  /// An owner takes back whatever is borrowed; others take only from less urgent work.
+  static bool MayStop(waiting_group const& aGroup, preemptible_run const& aRun)
+  {
+    return !aRun.mIsGuaranteed && (aGroup.mIsGuaranteed || aRun.mPriority > aGroup.mPriority);
   }
 
   /// Cheapest victims that make room for one task on a worker.
@@ -354,7 +360,7 @@
         best = std::move(cleared);
       }
     }
-    if (!best) {
+    if (!best || (!aGroup.mIsGuaranteed && best->mLostWork > aGroup.mPreemptionBudget)) {
       return;
     }
     for (auto const run : best->mVictims) {
@@ -389,7 +395,7 @@
                                    std::vector<preemptible_run> const& aRuns)
 {
   std::ranges::stable_sort(aGroups, {}, [](waiting_group const& aGroup) {
-    return std::tuple{ !aGroup.mIsGuaranteed, aGroup.mPriority, aGroup.mDueBy };
+    return std::tuple{ !aGroup.mIsGuaranteed, aGroup.mPriority, aGroup.mIsLate, aGroup.mDueBy };
   });
   placement_round round{ std::move(aWorkers), aRuns };
   for (auto const& group : aGroups) {
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -38,6 +38,10 @@
   bool mIsGuaranteed = false;
   /// By when the job should be done to meet its objective.
   base::time_point mDueBy{};
+  /// It would miss its objective even if it started now.
+  bool mIsLate = false;
+  /// Processor seconds of other work that may be thrown away for it; a guarantee has no limit.
+  double mPreemptionBudget = 0;
   /// Tasks of the step that already run on each worker, for the limit per worker.
   std::map<std::string, std::uint32_t> mRunningOn{};
   /// Workers of earlier failures, avoided where another one fits.
@@ -77,7 +81,7 @@
 };
 
 /// Decides what starts where and what stops for it. Groups are served by priority, guaranteed ones
-/// first, then by due time.
+/// first; within a priority those that can still meet their objective come first, by due time.
 placement_decision DecidePlacement(std::vector<worker_offer> aWorkers,
                                    std::vector<waiting_group> aGroups,
                                    std::vector<preemptible_run> const& aRuns);
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -25,7 +25,7 @@
 constexpr base::milliseconds kOwnRowsWait{ 700 };
 /// Bounds the age of a confirmed configuration.
 constexpr base::milliseconds kOperatorRowsWait{ 900 };
-constexpr base::milliseconds kReadTimeout{ 2000 };
+constexpr base::milliseconds kReadTimeout{ 1000 };
 constexpr int kShortestRetryMs = 60;
 constexpr int kLongestRetryMs = 250;
 
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -67,7 +67,9 @@
     if (mIsHolder || mIsReleasing || !mOptions.mReplica.IsLoaded()) {
       continue;
     }
-    if (mOptions.mReplica.Lease().IsVacant(base::Now(), ownSpread)) {
+    // The former life of this very process is certain to be over.
+    auto const isOwnPast = mOptions.mReplica.Term().mNode == mOptions.mSettings.mNode;
+    if (isOwnPast || mOptions.mReplica.Lease().IsVacant(base::Now(), ownSpread)) {
       co_await TakeTerm();
       ownSpread = milliseconds{ spread(random) };
     }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -6,6 +6,7 @@
 #include "dispatch/replica.h"
 #include "dispatch/worker_health.h"
 #include "net/link_dialer.h"
+#include "placement/run_time_estimator.h"
 #include "platform/deployment_settings.h"
 
 #include <map>
@@ -111,6 +112,7 @@
   void ApplyCancellations();
   void ExpireLeases(base::time_point aNow);
   void ExpireOrders(base::time_point aNow);
+  void StopStalledRuns(base::time_point aNow);
   void CloseSilentLinks(base::time_point aNow);
   void ForgetEndedJobs(base::time_point aNow);
 
@@ -118,6 +120,7 @@
   void Plan();
   std::vector<worker_offer> Offers(base::time_point aNow);
   std::vector<waiting_group> Groups(base::time_point aNow);
+  base::milliseconds ExpectedRunTime(job_record const& aJob, job_step const& aStep) const;
   void AddGroups(job_record& aJob, bool aIsGuaranteed, base::time_point aNow,
                  std::vector<waiting_group>& aGroups);
   std::vector<preemptible_run> Runs(base::time_point aNow);
@@ -140,6 +143,8 @@
   std::set<std::string> mDirty;
   std::vector<planned_start> mPlanned;
   std::optional<batch> mBatch;
+  /// Run times by queue, declared against real.
+  placement::run_time_estimator mRunTimes;
   bool mIsPumpPosted = false;
   bool mMustPlan = false;
   boost::asio::steady_timer mFlushTimer;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -41,6 +41,23 @@
   return widest;
 }
 
+/// By when a job should be done: its objective counts from its acceptance, or for an occurrence
+/// from the time at which it is due.
+base::time_point DueBy(job_record const& aJob, queue const* aQueue, std::uint32_t aOccurrence,
+                       milliseconds aExpected, base::time_point aNow, std::int64_t aWallMs)
+{
+  auto const& job = aJob.Description();
+  auto const since =
+    job.mOccurrences == 0
+      ? job.mAcceptedWallMs
+      : job.mFirstDueWallMs + static_cast<std::int64_t>(aOccurrence) * job.mInterval.count();
+  auto const stretch = aQueue == nullptr ? 1.0 : aQueue->mStretch;
+  auto const objective = aQueue == nullptr ? milliseconds{ 0 } : aQueue->mObjective;
+  return aNow - milliseconds{ aWallMs - since } + objective +
+         milliseconds{ static_cast<std::int64_t>(stretch *
+                                                 static_cast<double>(aExpected.count())) };
+}
+
 /// A worker that rests takes work all the same when more than this share of a service would rest.
 constexpr double kLargestRestingShare = 0.34;
 
@@ -140,6 +157,11 @@
   return groups;
 }
 
+milliseconds scheduler::ExpectedRunTime(job_record const& aJob, job_step const& aStep) const
+{
+  return mRunTimes.Expected(aJob.Description().mQueue, aStep.mEstimate);
+}
+
 void scheduler::AddGroups(job_record& aJob, bool aIsGuaranteed, base::time_point aNow,
                           std::vector<waiting_group>& aGroups)
 {
@@ -162,11 +184,9 @@
                            .mService = queue == nullptr ? description.mService : queue->mService,
                            .mPriority = PriorityOf(aJob),
                            .mIsGuaranteed = aIsGuaranteed };
-      auto const stretch = queue == nullptr ? 1.0 : queue->mStretch;
-      auto const objective = queue == nullptr ? milliseconds{ 0 } : queue->mObjective;
-      group.mDueBy = aJob.mSeenAt + objective +
-                     milliseconds{ static_cast<std::int64_t>(
-                       stretch * static_cast<double>(shape.mEstimate.count())) };
+      auto const expected = ExpectedRunTime(aJob, shape);
+      group.mDueBy = DueBy(aJob, queue, occurrence, expected, aNow, wallMs);
+      group.mIsLate = aNow + expected > group.mDueBy;
       bool isAnyActive = false;
       auto const& tasks = aJob.Tasks(occurrence, step);
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -181,12 +201,16 @@
           ++group.mRunningOn[task.mState.mWorker];
         }
       }
+      if (group.mPriority == 0 && !group.mIsLate) {
+        group.mPreemptionBudget = WeightInCores(shape.mNeed) *
+                                  static_cast<double>(group.mIndexes.size()) *
+                                  static_cast<double>(expected.count()) / kMillisecondsPerSecond;
+      }
       if (!group.mIndexes.empty() && !(shape.mIsGang && isAnyActive)) {
         aGroups.push_back(std::move(group));
       }
     }
   }
-  (void)aNow;
 }
 
 std::vector<preemptible_run> scheduler::Runs(base::time_point aNow)
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -139,6 +139,9 @@
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
+    if (task.mStartedAt != base::time_point{} && task.mState.mCheckpoint.empty()) {
+      mRunTimes.Observe(aJob.Description().mQueue, step.mEstimate, now - task.mStartedAt);
+    }
     task.mState.mStatus = task_status::done;
     if (step.mIsGang) {
       // The members of a gang end together; one such end stands for all.
@@ -261,6 +264,8 @@
         task->mStartedAt = now;
       }
     }
+    base::Log("scheduler")
+      ->info("DEBUG progress task={} percent={} load={}", run.mTask, run.mPercent, run.mLoadFigure);
     if (run.mPercent != task->mProgress) {
       task->mProgress = run.mPercent;
       task->mProgressAt = now;
@@ -422,6 +427,11 @@
   }
 }
 
+void scheduler::StopStalledRuns(base::time_point aNow)
+{
+  (void)aNow;
+}
+
 void scheduler::ExpireOrders(base::time_point aNow)
 {
   for (auto& [id, job] : mOptions.mReplica.Jobs()) {
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -33,6 +33,9 @@
 
   base::result<void> Start(net::tcp::endpoint const& aLinks);
 
+  /// Where the scheduler reaches this side.
+  net::tcp::endpoint Links() const { return mLinks->Endpoint(); }
+
   /// A heartbeat of the worker, or nothing of use.
   void Heartbeat(std::string const& aWorker, std::string const& aBody);
   /// The worker ends in good order.
--- /dev/null
+++ b/source/dispatch/tests/placement_test.cpp
@@ -0,0 +1,297 @@
+#include "dispatch/placement_decision.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace rattanpond::dispatch {
+
+namespace {
+
+constexpr amounts kWholeWorker{ 64'000, 262'144, 8 };
+
+worker_offer Offer(std::string aName, std::string aRack, amounts aFree = kWholeWorker)
+{
+  return { .mWorker = std::move(aName),
+           .mService = "service",
+           .mRack = std::move(aRack),
+           .mLabels = { "a" },
+           .mCapacity = kWholeWorker,
+           .mFree = aFree };
+}
+
+job_step Step(std::uint32_t aCount, std::int64_t aAccelerators, bool aIsGang)
+{
+  job_step step;
+  step.mCount = aCount;
+  step.mNeed = { 1000 * aAccelerators, 1000 * aAccelerators, aAccelerators };
+  step.mIsGang = aIsGang;
+  return step;
+}
+
+waiting_group Group(std::string aJob, job_step const& aStep, std::uint32_t aPriority = 1)
+{
+  waiting_group group{
+    .mJob = std::move(aJob), .mShape = &aStep, .mService = "service", .mPriority = aPriority
+  };
+  for (std::uint32_t index = 0; index < aStep.mCount; ++index) {
+    group.mIndexes.push_back(index);
+  }
+  return group;
+}
+
+preemptible_run Run(std::string aJob, std::vector<std::string> aWorkers, std::int64_t aAccelerators,
+                    double aLostWork, std::uint32_t aPriority = 2)
+{
+  preemptible_run run{ .mJob = std::move(aJob),
+                       .mWorkers = std::move(aWorkers),
+                       .mNeed = { 1000 * aAccelerators, 1000 * aAccelerators, aAccelerators },
+                       .mPriority = aPriority,
+                       .mLostWork = aLostWork };
+  run.mTasks.resize(run.mWorkers.size());
+  return run;
+}
+
+amounts Less(std::int64_t aAccelerators)
+{
+  auto free = kWholeWorker;
+  free -= { 1000 * aAccelerators, 1000 * aAccelerators, aAccelerators };
+  return free;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement_test)
+
+// Guards against gangs that start in part and wait for members that have no room.
+BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all)
+{
+  auto const step = Step(3, 8, true);
+  auto const tooFew =
+    DecidePlacement({ Offer("w1", "r1"), Offer("w2", "r1") }, { Group("job", step) }, {});
+  BOOST_TEST(tooFew.mStarts.empty());
+  auto const enough = DecidePlacement({ Offer("w1", "r1"), Offer("w2", "r1"), Offer("w3", "r2") },
+                                      { Group("job", step) }, {});
+  BOOST_TEST(enough.mStarts.size() == 3U);
+}
+
+// Guards against the slowdown of a gang that is spread over racks although one rack holds it.
+BOOST_AUTO_TEST_CASE(same_rack_gang_waits_for_its_rack)
+{
+  auto step = Step(2, 8, true);
+  step.mIsSameRack = true;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1"), Offer("w2", "r1", Less(1)),
+                                           Offer("w3", "r2"), Offer("w4", "r2", Less(8)) };
+  BOOST_TEST(DecidePlacement(workers, { Group("job", step) }, {}).mStarts.empty());
+  std::vector<worker_offer> const single{ Offer("w1", "r1"), Offer("w3", "r2") };
+  // No rack can ever hold it: slow is better than never.
+  BOOST_TEST(DecidePlacement(single, { Group("job", step) }, {}).mStarts.size() == 2U);
+}
+
+// Guards against small tasks that break up whole workers while a used one has room.
+BOOST_AUTO_TEST_CASE(small_tasks_fill_used_workers_first)
+{
+  auto const step = Step(2, 1, false);
+  auto const decision =
+    DecidePlacement({ Offer("w1", "r1"), Offer("w2", "r1", Less(6)) }, { Group("job", step) }, {});
+  BOOST_TEST(decision.mStarts.size() == 2U);
+  for (auto const& start : decision.mStarts) {
+    BOOST_TEST(start.mWorker == "w2");
+  }
+}
+
+// Guards against a guarantee that waits behind borrowed work, and against stopping more than
+// needed.
+BOOST_AUTO_TEST_CASE(guarantee_stops_the_runs_that_lose_least)
+{
+  auto const step = Step(1, 8, true);
+  auto owner = Group("owner", step, 0);
+  owner.mIsGuaranteed = true;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1", Less(8)), Offer("w2", "r1", Less(8)) };
+  std::vector<preemptible_run> const runs{ Run("old", { "w1" }, 8, 500.0),
+                                           Run("young", { "w2" }, 8, 20.0) };
+  auto const decision = DecidePlacement(workers, { owner }, runs);
+  BOOST_TEST(decision.mStarts.empty());
+  BOOST_REQUIRE(decision.mStops.size() == 1U);
+  BOOST_TEST(decision.mStops.front() == 1U);
+}
+
+// Guards against a chain of preemptions: room that is being cleared is not cleared twice, and is
+// not given to others.
+BOOST_AUTO_TEST_CASE(cleared_room_is_kept_for_its_owner)
+{
+  auto const large = Step(1, 8, true);
+  auto const small = Step(8, 1, false);
+  auto owner = Group("owner", large, 0);
+  owner.mIsGuaranteed = true;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1", Less(4)) };
+  auto stopping = Run("borrower", { "w1" }, 4, 10.0);
+  stopping.mIsStopping = true;
+  auto const decision = DecidePlacement(workers, { owner, Group("burst", small, 2) }, { stopping });
+  BOOST_TEST(decision.mStops.empty());
+  BOOST_TEST(decision.mStarts.empty());
+}
+
+// Guards against an owner's guarantee being taken for another owner's job of the same priority.
+BOOST_AUTO_TEST_CASE(guaranteed_runs_are_not_stopped_for_each_other)
+{
+  auto const step = Step(1, 8, true);
+  auto owner = Group("owner", step, 0);
+  owner.mIsGuaranteed = true;
+  auto other = Run("other", { "w1" }, 8, 10.0, 0);
+  other.mIsGuaranteed = true;
+  auto const decision = DecidePlacement({ Offer("w1", "r1", Less(8)) }, { owner }, { other });
+  BOOST_TEST(decision.mStops.empty());
+}
+
+// Guards against a stop of a whole gang where a single task would do: all members lose their work.
+BOOST_AUTO_TEST_CASE(gang_members_on_other_workers_are_freed_too)
+{
+  auto const step = Step(2, 8, true);
+  auto owner = Group("owner", step, 0);
+  owner.mIsGuaranteed = true;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1", Less(8)), Offer("w2", "r1", Less(8)) };
+  auto const decision =
+    DecidePlacement(workers, { owner }, { Run("gang", { "w1", "w2" }, 8, 100.0) });
+  BOOST_TEST(decision.mStops.size() == 1U);
+}
+
+// Load pattern: urgent jobs beyond their guarantee meet workers full of less urgent work. Guards
+// against urgent jobs that wait for long ones, and against throwing away more than they are worth.
+BOOST_AUTO_TEST_CASE(urgent_work_preempts_within_its_budget)
+{
+  auto const step = Step(1, 8, false);
+  auto urgent = Group("urgent", step, 0);
+  urgent.mPreemptionBudget = 100.0;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1", Less(8)), Offer("w2", "r1", Less(8)) };
+  auto const cheap = DecidePlacement(
+    workers, { urgent }, { Run("old", { "w1" }, 8, 500.0), Run("young", { "w2" }, 8, 20.0) });
+  BOOST_REQUIRE(cheap.mStops.size() == 1U);
+  BOOST_TEST(cheap.mStops.front() == 1U);
+  auto const dear = DecidePlacement(
+    workers, { urgent }, { Run("old", { "w1" }, 8, 500.0), Run("older", { "w2" }, 8, 900.0) });
+  BOOST_TEST(dear.mStops.empty());
+  auto const equal = DecidePlacement(workers, { urgent }, { Run("peer", { "w1" }, 8, 1.0, 0) });
+  BOOST_TEST(equal.mStops.empty());
+}
+
+// Load pattern: a backlog after an outage. Guards against jobs that are late anyway taking the room
+// of those that can still meet their objective.
+BOOST_AUTO_TEST_CASE(jobs_that_can_still_be_on_time_come_first)
+{
+  auto const step = Step(1, 8, false);
+  auto late = Group("late", step);
+  late.mIsLate = true;
+  late.mDueBy = base::time_point{ base::milliseconds{ 1 } };
+  auto timely = Group("timely", step);
+  timely.mDueBy = base::time_point{ base::milliseconds{ 1000 } };
+  auto const decision = DecidePlacement({ Offer("w1", "r1") }, { late, timely }, {});
+  BOOST_REQUIRE(decision.mStarts.size() == 1U);
+  BOOST_TEST(decision.mStarts.front().mJob == "timely");
+}
+
+BOOST_AUTO_TEST_CASE(requirements_of_a_step_are_kept)
+{
+  auto labelled = Step(1, 1, false);
+  labelled.mRequiredLabel = "b";
+  BOOST_TEST(
+    DecidePlacement({ Offer("w1", "r1") }, { Group("job", labelled) }, {}).mStarts.empty());
+
+  auto spread = Step(3, 1, false);
+  spread.mMaximumPerWorker = 1;
+  auto const apart =
+    DecidePlacement({ Offer("w1", "r1"), Offer("w2", "r1") }, { Group("job", spread) }, {});
+  BOOST_TEST(apart.mStarts.size() == 2U);
+  BOOST_TEST(apart.mStarts[0].mWorker != apart.mStarts[1].mWorker);
+
+  auto near = Step(1, 1, false);
+  near.mDataRack = "r2";
+  auto const local =
+    DecidePlacement({ Offer("w1", "r1", Less(7)), Offer("w2", "r2") }, { Group("job", near) }, {});
+  BOOST_REQUIRE(local.mStarts.size() == 1U);
+  BOOST_TEST(local.mStarts[0].mWorker == "w2");
+
+  auto const plain = Step(1, 1, false);
+  auto failed = Group("job", plain);
+  failed.mFailedOn = { "w1" };
+  auto const elsewhere =
+    DecidePlacement({ Offer("w1", "r1", Less(7)), Offer("w2", "r2") }, { failed }, {});
+  BOOST_REQUIRE(elsewhere.mStarts.size() == 1U);
+  BOOST_TEST(elsewhere.mStarts[0].mWorker == "w2");
+
+  auto advised = Group("job", plain);
+  advised.mAllowed = std::vector<std::string>{ "w2" };
+  auto const allowed =
+    DecidePlacement({ Offer("w1", "r1", Less(7)), Offer("w2", "r2") }, { advised }, {});
+  BOOST_REQUIRE(allowed.mStarts.size() == 1U);
+  BOOST_TEST(allowed.mStarts[0].mWorker == "w2");
+}
+
+// Nothing starts on a worker that takes no starts, over capacity, in part of a gang, or twice.
+BOOST_AUTO_TEST_CASE(random_decisions_keep_the_invariants)
+{
+  rc::check("placement invariants", [] {
+    auto const workerCount = *rc::gen::inRange(1, 7);
+    std::vector<worker_offer> workers;
+    for (int index = 0; index < workerCount; ++index) {
+      workers.push_back(Offer("w" + std::to_string(index), "r" + std::to_string(index / 3),
+                              Less(*rc::gen::inRange(0, 9))));
+      workers.back().mTakesStarts = *rc::gen::inRange(0, 5) != 0;
+    }
+    std::vector<job_step> steps;
+    auto const groupCount = *rc::gen::inRange(1, 8);
+    for (int index = 0; index < groupCount; ++index) {
+      steps.push_back(Step(static_cast<std::uint32_t>(*rc::gen::inRange(1, 6)),
+                           *rc::gen::inRange(0, 9), *rc::gen::arbitrary<bool>()));
+      steps.back().mIsSameRack = *rc::gen::arbitrary<bool>();
+    }
+    std::vector<waiting_group> groups;
+    for (int index = 0; index < groupCount; ++index) {
+      groups.push_back(Group("job" + std::to_string(index), steps[static_cast<std::size_t>(index)],
+                             static_cast<std::uint32_t>(*rc::gen::inRange(0, 3))));
+      groups.back().mIsGuaranteed = groups.back().mPriority == 0 && *rc::gen::arbitrary<bool>();
+    }
+    std::vector<preemptible_run> runs;
+    for (auto const& worker : workers) {
+      auto const used = kWholeWorker.mAccelerators - worker.mFree.mAccelerators;
+      if (used > 0) {
+        runs.push_back(Run("run" + worker.mWorker, { worker.mWorker }, used,
+                           *rc::gen::inRange(0, 100),
+                           static_cast<std::uint32_t>(*rc::gen::inRange(0, 3))));
+        runs.back().mIsStopping = *rc::gen::inRange(0, 4) == 0;
+      }
+    }
+    auto const decision = DecidePlacement(workers, groups, runs);
+
+    std::map<std::string, amounts> used;
+    std::map<std::string, std::uint32_t> started;
+    std::set<std::pair<std::string, task_position>> seen;
+    for (auto const& start : decision.mStarts) {
+      auto const group = std::ranges::find(groups, start.mJob, &waiting_group::mJob);
+      RC_ASSERT(group != groups.end());
+      used[start.mWorker] += group->mShape->mNeed;
+      ++started[start.mJob];
+      RC_ASSERT(seen.insert({ start.mJob, start.mPosition }).second);
+    }
+    for (auto const& worker : workers) {
+      if (used.contains(worker.mWorker)) {
+        RC_ASSERT(worker.mTakesStarts);
+        RC_ASSERT(worker.mFree.Covers(used[worker.mWorker]));
+      }
+    }
+    for (auto const& group : groups) {
+      if (group.mShape->mIsGang && started.contains(group.mJob)) {
+        RC_ASSERT(started[group.mJob] == group.mIndexes.size());
+      }
+    }
+    for (auto const stop : decision.mStops) {
+      RC_ASSERT(!runs[stop].mIsStopping);
+      RC_ASSERT(!runs[stop].mIsGuaranteed);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::dispatch
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -13,7 +13,7 @@
 
 /// An answer of the store takes a few milliseconds across instances; a call that outlasts its limit
 /// by this much is lost.
-constexpr base::milliseconds kAnswerAllowance{ 1200 };
+constexpr base::milliseconds kAnswerAllowance{ 800 };
 constexpr base::milliseconds kConnectTimeout{ 800 };
 constexpr std::size_t kMaximumConnections = 16;
 constexpr std::size_t kPageRows = 500;
--- /dev/null
+++ b/source/platform/tests/fake_row_store.h
@@ -0,0 +1,265 @@
+#pragma once
+
+#include "net/http_router.h"
+#include "net/http_server.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+
+namespace rattanpond::platform {
+
+/// The platform's store in memory, with a door of its own for each caller, so that it can turn one
+/// away and serve the others.
+class fake_row_store
+{
+public:
+  enum class behaviour
+  {
+    serves,
+    /// Answers 503 at once.
+    refuses,
+    /// Takes the call and never answers; nothing is done.
+    silent,
+    /// Does what is asked and loses the answer.
+    loses_answers
+  };
+
+  struct door
+  {
+    behaviour mBehaviour = behaviour::serves;
+    std::unique_ptr<net::http_server> mServer;
+  };
+
+  explicit fake_row_store(boost::asio::io_context& aContext)
+    : mContext{ aContext }
+  {
+  }
+
+  door& Open()
+  {
+    mDoors.push_back(std::make_unique<door>());
+    auto* const opened = mDoors.back().get();
+    auto created = base::Capture([&] {
+      return net::http_server::Create(mContext,
+                                      { .mEndpoint = { boost::asio::ip::address_v4::loopback(), 0 },
+                                        .mHandler = [this, opened](net::http_request aRequest) {
+                                          return Handle(*opened, std::move(aRequest));
+                                        } });
+    });
+    opened->mServer = std::move(std::get<0>(created));
+    return *opened;
+  }
+
+  /// A write of the operators.
+  void Put(std::string const& aTable, std::string const& aKey, std::string const& aText)
+  {
+    Write(aTable, aKey, aText);
+  }
+  void Remove(std::string const& aTable, std::string const& aKey)
+  {
+    Write(aTable, aKey, std::nullopt);
+  }
+
+  /// Callers that ask for older changes have to read again.
+  void ForgetHistory()
+  {
+    mHistory.clear();
+    mOldest = mVersion;
+  }
+
+  std::optional<std::string> Text(std::string const& aTable, std::string const& aKey) const
+  {
+    auto const found = mRows.find({ aTable, aKey });
+    return found == mRows.end() ? std::nullopt : std::optional{ found->second.mText };
+  }
+
+  std::size_t Commits() const { return mCommits; }
+
+private:
+  using name = std::pair<std::string, std::string>;
+
+  struct row
+  {
+    std::string mText;
+    std::uint64_t mVersion = 0;
+  };
+
+  struct change
+  {
+    std::uint64_t mVersion = 0;
+    name mName;
+    std::optional<std::string> mText;
+  };
+
+  void Write(std::string const& aTable, std::string const& aKey, std::optional<std::string> aText)
+  {
+    ++mVersion;
+    Apply({ aTable, aKey }, std::move(aText));
+  }
+
+  void Apply(name aName, std::optional<std::string> aText)
+  {
+    mHistory.push_back({ mVersion, aName, aText });
+    if (aText) {
+      mRows[aName] = { std::move(*aText), mVersion };
+    } else {
+      mRows.erase(aName);
+    }
+  }
+
+  static base::json Entry(name const& aName, std::optional<std::string> const& aText,
+                          std::uint64_t aVersion)
+  {
+    namespace base64 = boost::beast::detail::base64;
+    base::json entry{
+      { "table", aName.first }, { "part", "" }, { "key", aName.second }, { "ver", aVersion }
+    };
+    if (aText) {
+      std::string encoded(base64::encoded_size(aText->size()), '\0');
+      encoded.resize(base64::encode(encoded.data(), aText->data(), aText->size()));
+      entry["value"] = encoded;
+    } else {
+      entry["deleted"] = true;
+    }
+    return entry;
+  }
+
+  boost::asio::awaitable<net::http_response> Handle(door& aDoor, net::http_request aRequest)
+  {
+    auto const behaviour = aDoor.mBehaviour;
+    if (behaviour == behaviour::refuses) {
+      co_return net::JsonResponse(503, base::json::object());
+    }
+    if (behaviour == behaviour::silent) {
+      boost::asio::steady_timer timer{ mContext, std::chrono::seconds{ 30 } };
+      boost::system::error_code ignored;
+      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      co_return Lost();
+    }
+    auto response = co_await mRouter.Handle(std::move(aRequest));
+    if (behaviour == behaviour::loses_answers) {
+      response.mTransfer = net::answer_transfer::none;
+    }
+    co_return response;
+  }
+
+  static net::http_response Lost()
+  {
+    net::http_response response;
+    response.mTransfer = net::answer_transfer::none;
+    return response;
+  }
+
+  net::http_router MakeRouter()
+  {
+    net::http_router router;
+    router.Add("POST", "/api/rows-tx",
+               [this](net::routed_request aRequest) -> boost::asio::awaitable<net::http_response> {
+                 co_return Transact(base::json::parse(aRequest.mRequest.mBody));
+               });
+    router.Add("GET", "/api/rows-get",
+               [this](net::routed_request aRequest) -> boost::asio::awaitable<net::http_response> {
+                 co_return ReadTable(aRequest.mQuery);
+               });
+    router.Add("GET", "/api/rows-feed",
+               [this](net::routed_request aRequest) { return Feed(std::move(aRequest.mQuery)); });
+    return router;
+  }
+
+  net::http_response Transact(base::json const& aBody)
+  {
+    base::json current = base::json::array();
+    bool isHeld = true;
+    for (auto const& condition : aBody["expect_rev"]) {
+      name const rowName{ condition["table"], condition["key"] };
+      auto const found = mRows.find(rowName);
+      auto const version = found == mRows.end() ? 0 : found->second.mVersion;
+      isHeld = isHeld && version == condition["ver"].get<std::uint64_t>();
+      if (found != mRows.end()) {
+        current.push_back(Entry(rowName, found->second.mText, version));
+      }
+    }
+    if (!isHeld) {
+      return net::JsonResponse(412, { { "rows", current }, { "ver", mVersion }, { "now_ms", 1 } });
+    }
+    namespace base64 = boost::beast::detail::base64;
+    ++mVersion;
+    ++mCommits;
+    for (auto const& put : aBody["puts"]) {
+      auto const encoded = put["value"].get<std::string>();
+      std::string text(base64::decoded_size(encoded.size()), '\0');
+      text.resize(base64::decode(text.data(), encoded.data(), encoded.size()).first);
+      Apply({ put["table"], put["key"] }, text);
+    }
+    for (auto const& removal : aBody["remove"]) {
+      Apply({ removal["table"], removal["key"] }, std::nullopt);
+    }
+    return net::JsonResponse(200, { { "ver", mVersion }, { "now_ms", 1 } });
+  }
+
+  net::http_response ReadTable(std::map<std::string, std::string> const& aQuery)
+  {
+    constexpr std::size_t kPage = 5;
+    auto const from = aQuery.find("from");
+    base::json rows = base::json::array();
+    bool hasMore = false;
+    for (auto const& [rowName, stored] : mRows) {
+      if (rowName.first != aQuery.at("table") ||
+          (from != aQuery.end() && rowName.second < from->second)) {
+        continue;
+      }
+      if (rows.size() == kPage) {
+        hasMore = true;
+        break;
+      }
+      rows.push_back(Entry(rowName, stored.mText, stored.mVersion));
+    }
+    return net::JsonResponse(
+      200, { { "rows", rows }, { "has_more", hasMore }, { "ver", mVersion }, { "now_ms", 1 } });
+  }
+
+  boost::asio::awaitable<net::http_response> Feed(std::map<std::string, std::string> aQuery)
+  {
+    auto const after = std::stoull(aQuery.at("after"));
+    auto const deadline = std::chrono::steady_clock::now() +
+                          std::chrono::milliseconds{ std::stoi(aQuery.at("wait_ms")) };
+    while (true) {
+      if (after < mOldest) {
+        co_return net::JsonResponse(410, base::json::object());
+      }
+      base::json rows = base::json::array();
+      for (auto const& change : mHistory) {
+        if (change.mVersion > after && change.mName.first == aQuery.at("table")) {
+          rows.push_back(Entry(change.mName, change.mText, change.mVersion));
+        }
+      }
+      if (!rows.empty() || std::chrono::steady_clock::now() >= deadline) {
+        base::json body{ { "ver", mVersion }, { "now_ms", 1 } };
+        body["rows"] = std::move(rows);
+        co_return net::JsonResponse(200, body);
+      }
+      // Short steps in place of a wake-up for each waiting caller.
+      boost::asio::steady_timer timer{ mContext, std::chrono::milliseconds{ 4 } };
+      boost::system::error_code ignored;
+      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+  }
+
+  boost::asio::io_context& mContext;
+  net::http_router mRouter = MakeRouter();
+  std::vector<std::unique_ptr<door>> mDoors;
+  std::map<name, row> mRows;
+  std::vector<change> mHistory;
+  std::uint64_t mVersion = 0;
+  std::uint64_t mOldest = 0;
+  std::size_t mCommits = 0;
+};
+
+} // namespace rattanpond::platform
--- /dev/null
+++ b/source/platform/tests/flow_test.cpp
@@ -0,0 +1,527 @@
+#include "dispatch/caller_api.h"
+#include "dispatch/scheduler.h"
+#include "dispatch/side_agent.h"
+#include "platform/operator_rows.h"
+#include "platform/tests/fake_row_store.h"
+#include "platform/tests/fake_worker.h"
+
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace rattanpond::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::milliseconds;
+
+constexpr char const* kKey = "key-1";
+
+std::string Configuration(std::uint64_t aVersion, std::string const& aKey = kKey)
+{
+  return base::json{
+    { "version", aVersion },
+    { "routes",
+      { { { "name", "urgent" },
+          { "host", "h" },
+          { "prefix", "/u/" },
+          { "service", "service" },
+          { "priority", 0 },
+          { "max_attempts", 3 } },
+        { { "name", "bulk" },
+          { "host", "h" },
+          { "prefix", "/b/" },
+          { "service", "service" },
+          { "priority", 2 },
+          { "max_attempts", 3 } } } },
+    { "services", { { { "name", "service" }, { "rejects_overload", true } } } },
+    { "tenants", { { { "name", "t" }, { "keys", { aKey } }, { "guaranteed", { { "gpu", 8 } } } } } }
+  }.dump();
+}
+
+std::string JobBody(int aCount, int aAccelerators, bool aIsGang = false)
+{
+  return base::json{
+    { "spec", "x" },
+    { "steps",
+      { { { "count", aCount },
+          { "cpu", 1000 },
+          { "mem_mb", 1000 },
+          { "gpu", aAccelerators },
+          { "gang", aIsGang } } } }
+  }.dump();
+}
+
+std::string JobId(int aNumber)
+{
+  auto text = std::to_string(aNumber);
+  return std::string(16 - text.size(), '0') + text;
+}
+
+/// An entry with a context of its own, so that a test can freeze or end it alone.
+struct test_front
+{
+  test_front(fake_row_store& aStore, std::string aName)
+    : mDoor{ aStore.Open() }
+    , mStore{ mContext, mDoor.mServer->Endpoint() }
+    , mReplica{ { .mContext = mContext,
+                  .mStore = mStore,
+                  .mOnChange = [this] { mScheduler.ReplicaChanged(); },
+                  .mIsWriter = [this] { return mScheduler.IsHolder(); } } }
+    , mScheduler{ { .mContext = mContext,
+                    .mStore = mStore,
+                    .mReplica = mReplica,
+                    .mSettings = mSettings,
+                    .mMetrics = mMetrics,
+                    .mIncarnation = aName } }
+    , mCallers{
+      { .mStore = mStore, .mReplica = mReplica, .mSettings = mSettings, .mMetrics = mMetrics }
+    }
+  {
+    mSettings.mNode = aName;
+    mReplica.Start();
+    mScheduler.Start();
+  }
+
+  asio::io_context mContext{ 1 };
+  fake_row_store::door& mDoor;
+  deployment_settings mSettings;
+  base::metrics_registry mMetrics;
+  row_store mStore;
+  dispatch::replica mReplica;
+  dispatch::scheduler mScheduler;
+  dispatch::caller_api mCallers;
+  bool mIsFrozen = false;
+};
+
+struct test_side
+{
+  test_side(fake_row_store& aStore, asio::io_context& aWorkers, run_journal& aJournal,
+            std::string aName, std::string aDomain)
+    : mWorker{ aWorkers, aJournal, "i-" + aName }
+    , mDomain{ std::move(aDomain) }
+  {
+    mSettings.mNode = aName;
+    mSettings.mFailureDomain = mDomain;
+    mSettings.mWorker = mWorker.Endpoint();
+    mAgent = std::make_unique<dispatch::side_agent>(dispatch::side_agent::options{
+      .mContext = mContext, .mSettings = mSettings, .mMetrics = mMetrics });
+    auto const started = base::Capture([&] {
+      return mAgent->Start({ asio::ip::address_v4::loopback(), 0 });
+    });
+    BOOST_REQUIRE(base::Succeeded(started));
+    aStore.Put(dispatch::kTable, dispatch::kSidePrefix + aName,
+               base::json{ { "address", net::ToString(mAgent->Links()) } }.dump());
+  }
+
+  void Beat(std::string const& aState = "ready")
+  {
+    mAgent->Heartbeat(mWorker.Id(), mWorker.Heartbeat(mDomain, "r1", aState));
+  }
+
+  asio::io_context mContext{ 1 };
+  fake_worker mWorker;
+  std::string mDomain;
+  deployment_settings mSettings;
+  base::metrics_registry mMetrics;
+  std::unique_ptr<dispatch::side_agent> mAgent;
+  std::string mWorkerState = "ready";
+  bool mIsFrozen = false;
+};
+
+/// The whole path against a store and workers in memory.
+struct test_cluster
+{
+  explicit test_cluster(int aFronts = 2, int aSides = 3)
+  {
+    mStore.Put(kOperatorTable, kConfigurationKey, Configuration(1));
+    for (int index = 0; index < aSides; ++index) {
+      mSides.push_back(std::make_unique<test_side>(mStore, mOutside, mJournal,
+                                                   "side-" + std::to_string(index),
+                                                   "zone-" + std::to_string(index % 2)));
+    }
+    for (int index = 0; index < aFronts; ++index) {
+      mFronts.push_back(std::make_unique<test_front>(mStore, "front-" + std::to_string(index)));
+    }
+    BOOST_REQUIRE(Until([this] { return Holder() != nullptr; }));
+  }
+
+  void Step()
+  {
+    auto const now = base::Now();
+    if (now - mBeatAt > milliseconds{ 500 }) {
+      mBeatAt = now;
+      for (auto const& side : mSides) {
+        side->Beat(side->mWorkerState);
+      }
+    }
+    mOutside.restart();
+    mOutside.poll();
+    for (auto const& front : mFronts) {
+      if (!front->mIsFrozen) {
+        front->mContext.restart();
+        front->mContext.poll();
+      }
+    }
+    for (auto const& side : mSides) {
+      if (!side->mIsFrozen) {
+        side->mContext.restart();
+        side->mContext.poll();
+      }
+    }
+    std::this_thread::sleep_for(milliseconds{ 1 });
+  }
+
+  /// Runs until a condition holds; false after the limit.
+  bool Until(std::function<bool()> const& aCondition, milliseconds aLimit = milliseconds{ 15'000 })
+  {
+    auto const limit = base::Now() + aLimit;
+    while (!aCondition()) {
+      if (base::Now() > limit) {
+        return false;
+      }
+      Step();
+    }
+    return true;
+  }
+
+  void For(milliseconds aTime)
+  {
+    auto const until = base::Now() + aTime;
+    while (base::Now() < until) {
+      Step();
+    }
+  }
+
+  test_front* Holder()
+  {
+    for (auto const& front : mFronts) {
+      if (!front->mIsFrozen && front->mScheduler.IsHolder()) {
+        return front.get();
+      }
+    }
+    return nullptr;
+  }
+
+  test_front& Standby()
+  {
+    auto* const holder = Holder();
+    return mFronts[0].get() == holder ? *mFronts[1] : *mFronts[0];
+  }
+
+  unsigned Call(test_front& aFront, std::string aMethod, std::string aPath, std::string aBody = {},
+                std::string const& aKey = kKey)
+  {
+    net::http_request request{ .mMethod = std::move(aMethod), .mTarget = std::move(aPath) };
+    request.mHeaders.Add("Host", "h");
+    request.mHeaders.Add("Api-Key", aKey);
+    request.mBody = std::move(aBody);
+    std::optional<net::http_response> response;
+    asio::co_spawn(
+      aFront.mContext, aFront.mCallers.Handle(std::move(request)),
+      [&](std::exception_ptr, net::http_response aResponse) { response = std::move(aResponse); });
+    BOOST_REQUIRE(Until([&] { return response.has_value(); }));
+    mLastBody = response->mBody;
+    return response->mStatus;
+  }
+
+  std::string State(std::string const& aPath)
+  {
+    auto const status = Call(Standby(), "GET", aPath);
+    if (status != 200) {
+      return std::to_string(status);
+    }
+    return base::json::parse(mLastBody)["state"];
+  }
+
+  bool Ends(std::string const& aPath, std::string const& aState,
+            milliseconds aLimit = milliseconds{ 20'000 })
+  {
+    return Until([&] { return State(aPath) == aState; }, aLimit);
+  }
+
+  asio::io_context mOutside{ 1 };
+  fake_row_store mStore{ mOutside };
+  run_journal mJournal;
+  std::vector<std::unique_ptr<test_side>> mSides;
+  std::vector<std::unique_ptr<test_front>> mFronts;
+  base::time_point mBeatAt{};
+  std::string mLastBody;
+};
+
+void RequireNoFaults(test_cluster const& aCluster)
+{
+  for (auto const& fault : aCluster.mJournal.Faults()) {
+    BOOST_ERROR(fault);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(flow_test)
+
+BOOST_AUTO_TEST_CASE(a_job_runs_from_submission_to_done)
+{
+  test_cluster cluster;
+  auto const path = "/u/" + JobId(1);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(3, 1)) == 200U);
+  // A repeat at another front is the same job.
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(3, 1)) == 200U);
+  BOOST_TEST(cluster.Ends(path, "done"));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(1) + ".0.0.0") == 1U);
+  BOOST_TEST(cluster.mJournal.TasksStarted() == 3U);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "GET", "/u/" + JobId(9)) == 410U);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "GET", "/none/" + JobId(9)) == 404U);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "GET", path, "", "other") == 401U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a second run while an order without an answer is still on its way.
+BOOST_AUTO_TEST_CASE(late_orders_never_run_a_task_twice)
+{
+  test_cluster cluster{ 2, 2 };
+  cluster.mSides[0]->mWorker.mFaults.mLateOrders = milliseconds{ 1500 };
+  auto const path = "/u/" + JobId(2);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(8, 2)) == 200U);
+  cluster.For(milliseconds{ 2500 });
+  cluster.mSides[0]->mWorker.mFaults.mLateOrders = milliseconds{ 0 };
+  BOOST_TEST(cluster.Ends(path, "done"));
+  RequireNoFaults(cluster);
+}
+
+// Guards against work that is lost or doubled when the scheduler ends, and against a takeover that
+// takes longer than stated.
+BOOST_AUTO_TEST_CASE(a_standby_adopts_running_work)
+{
+  test_cluster cluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 4000 };
+  }
+  auto const path = "/u/" + JobId(3);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(3, 2)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 3; }));
+  auto* const former = cluster.Holder();
+  former->mIsFrozen = true;
+  auto const frozenAt = base::Now();
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.Holder() != nullptr; }));
+  BOOST_TEST((base::Now() - frozenAt).count() < 3000);
+  cluster.For(milliseconds{ 500 });
+  // The frozen holder wakes with its old beliefs.
+  former->mIsFrozen = false;
+  BOOST_TEST(cluster.Until([&] { return !former->mScheduler.IsHolder(); }));
+  BOOST_TEST(cluster.Ends(path, "done"));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(3) + ".0.0.0") == 1U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a scheduler that goes on without the store, and against standbys that wait while
+// the store turns only the holder away.
+BOOST_AUTO_TEST_CASE(a_holder_that_the_store_turns_away_is_replaced)
+{
+  test_cluster cluster;
+  auto* const former = cluster.Holder();
+  former->mDoor.mBehaviour = fake_row_store::behaviour::refuses;
+  BOOST_REQUIRE(cluster.Until([&] {
+    return cluster.mFronts[0].get() == former ? cluster.mFronts[1]->mScheduler.IsHolder()
+                                              : cluster.mFronts[0]->mScheduler.IsHolder();
+  }));
+  auto& next = cluster.mFronts[0].get() == former ? *cluster.mFronts[1] : *cluster.mFronts[0];
+  BOOST_TEST(cluster.Call(next, "POST", "/u/" + JobId(4), JobBody(2, 1)) == 200U);
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.TasksStarted() == 2; }));
+  // The one that is turned away admits no key once its configuration is too old.
+  BOOST_TEST(cluster.Until([&] { return cluster.Call(*former, "GET", "/u/" + JobId(4)) == 503U; }));
+  BOOST_TEST(!former->mCallers.IsReady());
+  former->mDoor.mBehaviour = fake_row_store::behaviour::serves;
+  BOOST_TEST(cluster.Until([&] { return !former->mScheduler.IsHolder(); }));
+  BOOST_TEST(cluster.Until([&] { return former->mCallers.IsReady(); }));
+  RequireNoFaults(cluster);
+}
+
+// Guards against a refusal of a job that is accepted after all, and against a double start when
+// answers of the store are lost.
+BOOST_AUTO_TEST_CASE(lost_answers_of_the_store_change_nothing)
+{
+  test_cluster cluster;
+  auto& standby = cluster.Standby();
+  standby.mDoor.mBehaviour = fake_row_store::behaviour::loses_answers;
+  auto const path = "/u/" + JobId(5);
+  auto const status = cluster.Call(standby, "POST", path, JobBody(2, 1));
+  BOOST_TEST(status == 504U);
+  standby.mDoor.mBehaviour = fake_row_store::behaviour::serves;
+  auto* const holder = cluster.Holder();
+  BOOST_REQUIRE(holder != nullptr);
+  holder->mDoor.mBehaviour = fake_row_store::behaviour::loses_answers;
+  cluster.For(milliseconds{ 700 });
+  holder->mDoor.mBehaviour = fake_row_store::behaviour::serves;
+  BOOST_TEST(cluster.Call(*cluster.mFronts[0], "POST", path, JobBody(2, 1)) == 200U);
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.TasksStarted() == 2; }));
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Live() == 0; }));
+  RequireNoFaults(cluster);
+}
+
+// A refusal is true: a store that refuses has done nothing, and nothing of the job runs later.
+BOOST_AUTO_TEST_CASE(a_refused_job_never_runs)
+{
+  test_cluster cluster;
+  auto& standby = cluster.Standby();
+  standby.mDoor.mBehaviour = fake_row_store::behaviour::refuses;
+  BOOST_TEST(cluster.Call(standby, "POST", "/u/" + JobId(6), JobBody(1, 1)) == 503U);
+  cluster.For(milliseconds{ 500 });
+  BOOST_TEST(cluster.mJournal.TasksStarted() == 0U);
+}
+
+// Guards against a key that hands in work after it was taken away, at a front that does not hear of
+// it: the acceptance itself is conditional on the configuration.
+BOOST_AUTO_TEST_CASE(a_revoked_key_is_refused_by_the_store)
+{
+  test_cluster cluster;
+  // Not a step in between: the front still holds the first version.
+  cluster.mStore.Put(kOperatorTable, kConfigurationKey, Configuration(2, "key-2"));
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(7), JobBody(1, 1)) == 401U);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(7), JobBody(1, 1), "key-2") ==
+             200U);
+  // An older version never comes back.
+  cluster.mStore.Put(kOperatorTable, kConfigurationKey, Configuration(1));
+  cluster.For(milliseconds{ 200 });
+  BOOST_TEST(cluster.Call(cluster.Standby(), "GET", "/u/" + JobId(7)) == 401U);
+}
+
+BOOST_AUTO_TEST_CASE(lost_history_is_read_again)
+{
+  test_cluster cluster;
+  cluster.mStore.ForgetHistory();
+  cluster.mStore.Put(kOperatorTable, kConfigurationKey, Configuration(3, "key-3"));
+  cluster.mStore.ForgetHistory();
+  BOOST_TEST(cluster.Until([&] {
+    return cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(8), JobBody(1, 1), "key-3") ==
+           200U;
+  }));
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.TasksStarted() == 1; }));
+}
+
+// Guards against starts in a domain that the operators have taken out, also when the order to take
+// it out and the start race.
+BOOST_AUTO_TEST_CASE(nothing_starts_in_an_evacuated_domain)
+{
+  test_cluster cluster{ 2, 2 };
+  cluster.For(milliseconds{ 300 });
+  cluster.mStore.Put(kOperatorTable, std::string{ kEvacuationPrefix } + "zone-0", "{}");
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(10), JobBody(2, 8)) == 200U);
+  cluster.For(milliseconds{ 1500 });
+  BOOST_TEST(cluster.mJournal.TasksStarted() == 2U);
+  BOOST_TEST(cluster.mSides[0]->mWorker.mStarted == 0U);
+  cluster.mStore.Remove(kOperatorTable, std::string{ kEvacuationPrefix } + "zone-0");
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(11), JobBody(2, 8)) == 200U);
+  BOOST_TEST(cluster.Until([&] { return cluster.mSides[0]->mWorker.mStarted > 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_and_never_starts_again)
+{
+  test_cluster cluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 5000 };
+  }
+  auto const path = "/b/" + JobId(12);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(6, 8)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 3; }));
+  BOOST_TEST(cluster.Call(cluster.Standby(), "DELETE", path) == 200U);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "DELETE", path) == 200U);
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Live() == 0; }, milliseconds{ 2000 }));
+  cluster.For(milliseconds{ 500 });
+  BOOST_TEST(cluster.mJournal.TasksStarted() == 3U);
+  BOOST_TEST(cluster.State(path) == "cancelled");
+}
+
+// Guards against a guarantee that waits behind borrowed work for longer than the reclaim bound.
+BOOST_AUTO_TEST_CASE(a_guarantee_is_reclaimed_from_borrowed_work)
+{
+  test_cluster cluster{ 2, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 6000 };
+  }
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/b/" + JobId(13), JobBody(2, 8)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 2; }));
+  cluster.For(milliseconds{ 300 });
+  auto const asked = base::Now();
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(14), JobBody(1, 8, true)) ==
+             200U);
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Starts(JobId(14) + ".0.0.0") == 1; }));
+  BOOST_TEST((base::Now() - asked).count() < 2900);
+  RequireNoFaults(cluster);
+}
+
+// Guards against tasks of a crashed worker that wait for a lease although its next life is known,
+// and against ends of the former life that are taken for those of the new one.
+BOOST_AUTO_TEST_CASE(work_of_a_reborn_worker_starts_again)
+{
+  test_cluster cluster{ 2, 1 };
+  cluster.mSides[0]->mWorker.mWork = milliseconds{ 1500 };
+  auto const path = "/u/" + JobId(15);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(2, 1)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 2; }));
+  cluster.mSides[0]->mWorker.Crash();
+  BOOST_TEST(cluster.Ends(path, "done"));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(15) + ".0.0.0") == 2U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against starts on a worker that has said that it drains.
+BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_work)
+{
+  test_cluster cluster{ 2, 2 };
+  cluster.For(milliseconds{ 300 });
+  cluster.mSides[1]->mWorkerState = "draining";
+  cluster.mSides[1]->Beat("draining");
+  auto const before = cluster.mSides[1]->mWorker.mStarted;
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/b/" + JobId(16), JobBody(4, 4)) == 200U);
+  cluster.For(milliseconds{ 800 });
+  BOOST_TEST(cluster.mSides[1]->mWorker.mStarted == before);
+}
+
+// A job that always fails is shown as failed after its attempts, and does not take the workers with
+// it.
+BOOST_AUTO_TEST_CASE(a_job_that_always_fails_ends_after_its_attempts)
+{
+  test_cluster cluster{ 2, 3 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mFaults.mFailsAll = true;
+  }
+  auto const path = "/u/" + JobId(17);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(1, 1)) == 200U);
+  BOOST_TEST(cluster.Ends(path, "failed"));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(17) + ".0.0.0") == 3U);
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mFaults.mFailsAll = false;
+  }
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(18), JobBody(1, 1)) == 200U);
+  BOOST_TEST(cluster.Ends("/u/" + JobId(18), "done"));
+}
+
+// Guards against leases that lapse while the scheduler is away for less than stated.
+BOOST_AUTO_TEST_CASE(work_outlives_the_loss_of_all_fronts)
+{
+  test_cluster cluster{ 2, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 9000 };
+  }
+  auto const path = "/u/" + JobId(19);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(2, 4)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 2; }));
+  for (auto const& front : cluster.mFronts) {
+    front->mIsFrozen = true;
+  }
+  cluster.For(milliseconds{ 7000 });
+  BOOST_TEST(cluster.mJournal.Live() == 2U);
+  for (auto const& front : cluster.mFronts) {
+    front->mIsFrozen = false;
+  }
+  BOOST_TEST(cluster.Ends(path, "done"));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(19) + ".0.0.0") == 1U);
+  RequireNoFaults(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::platform
