Dispatch: Stop runs without progress

Ruled out: judging by elapsed time, since estimates are off by a factor of several; the listed percentage is progress (seen in a run that printed it).

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -194,6 +194,7 @@
     auto const now = base::Now();
     CloseSilentLinks(now);
     ExpireOrders(now);
+    StopStalledRuns(now);
     ExpireLeases(now);
     ForgetEndedJobs(now);
     Pump();
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logging.h"
 #include "dispatch/lease_terms.h"
+#include "dispatch/run_progress.h"
 
 #include <algorithm>
 
@@ -16,6 +17,8 @@
 constexpr milliseconds kOrderLimit{ 2500 };
 /// A stop whose result does not come is sent again.
 constexpr milliseconds kStopLimit{ 1500 };
+/// Progress is judged only on fresh lists; sides report each second while they have runs.
+constexpr milliseconds kReportAge{ 1500 };
 /// After a refused start, its worker is left alone for about the time in which a stop frees room.
 constexpr milliseconds kRefusalRest{ 400 };
 
@@ -264,8 +267,6 @@
         task->mStartedAt = now;
       }
     }
-    base::Log("scheduler")
-      ->info("DEBUG progress task={} percent={} load={}", run.mTask, run.mPercent, run.mLoadFigure);
     if (run.mPercent != task->mProgress) {
       task->mProgress = run.mPercent;
       task->mProgressAt = now;
@@ -429,7 +430,27 @@
 
 void scheduler::StopStalledRuns(base::time_point aNow)
 {
-  (void)aNow;
+  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
+    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
+      auto const& step = job->Step(aPosition);
+      if (aTask.mState.mStatus != task_status::active || aTask.mContact != run_contact::running ||
+          step.mIsLongRunning) {
+        return;
+      }
+      auto const found = mSessions.find(aTask.mState.mWorker);
+      if (found == mSessions.end() || aNow - found->second->mReportedAt > kReportAge ||
+          !IsStalled({ .mSince = std::max(aTask.mProgressAt, mHolderSince),
+                       .mExpected = ExpectedRunTime(*job, step),
+                       .mHasProgress = aTask.mProgress > 0 },
+                     aNow)) {
+        return;
+      }
+      found->second->mHealth.Failed(id, aNow);
+      aTask.mFailedOn = aTask.mState.mWorker;
+      mOptions.mMetrics.Counter("rattanpond_stalled_runs").Add();
+      OrderStop(*job, aPosition, "the run makes no progress");
+    });
+  }
 }
 
 void scheduler::ExpireOrders(base::time_point aNow)
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/job_record.h"
 #include "dispatch/lease_terms.h"
+#include "dispatch/run_progress.h"
 #include "dispatch/term_lease.h"
 #include "dispatch/worker_health.h"
 
@@ -121,6 +122,27 @@
   BOOST_TEST(CertainLapse(milliseconds{ 1000 }) < CertainLapse(milliseconds{ 10'000 }));
 }
 
+// Load pattern: tasks on some workers stand still while heartbeats go on. Guards against runs that
+// hold their accelerators until the lease ends, and against stopping long runs that progress
+// slowly.
+BOOST_AUTO_TEST_CASE(a_run_without_progress_is_stalled)
+{
+  run_progress const shortRun{ .mSince = At(0),
+                               .mExpected = milliseconds{ 5000 },
+                               .mHasProgress = true };
+  BOOST_TEST(!IsStalled(shortRun, At(3000)));
+  BOOST_TEST(IsStalled(shortRun, At(3001)));
+  run_progress const waiting{ .mSince = At(0),
+                              .mExpected = milliseconds{ 5000 },
+                              .mHasProgress = false };
+  BOOST_TEST(!IsStalled(waiting, At(3001)));
+  BOOST_TEST(IsStalled(waiting, At(4501)));
+  run_progress const hours{ .mSince = At(0),
+                            .mExpected = milliseconds{ 3'600'000 },
+                            .mHasProgress = true };
+  BOOST_TEST(!IsStalled(hours, At(300'000)));
+}
+
 // Guards against one worker that attracts work because it fails it quickly, and against blaming it
 // for one job that fails everywhere.
 BOOST_AUTO_TEST_CASE(a_worker_rests_after_failures_of_different_jobs)
