--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -2,6 +2,7 @@
 
 #include "base/identifiers.h"
 #include "daemons/node_ports.h"
+#include "dispatch/announcement.h"
 #include "platform/instance_routes.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -60,7 +61,8 @@
                                   .mMetrics = mDaemon.Metrics(),
                                   .mIncarnation = base::RandomIdentifier() });
   mCallers = std::make_unique<dispatch::caller_api>(
-    dispatch::caller_api::options{ .mStore = mStore,
+    dispatch::caller_api::options{ .mContext = context,
+                                   .mStore = mStore,
                                    .mReplica = *mReplica,
                                    .mSettings = mSettings,
                                    .mMetrics = mDaemon.Metrics() });
@@ -81,6 +83,22 @@
                                             return mCallers->Handle(std::move(aRequest));
                                           },
                                         .mMaximumBodyBytes = mSettings.mMaximumBodyBytes }));
+  BOOST_LEAF_AUTO(links, LinkEndpoint(mSettings));
+  BOOST_LEAF_ASSIGN(
+    mForwardServer,
+    net::http_server::Create(context, { .mEndpoint = links,
+                                        .mHandler =
+                                          [this](net::http_request aRequest) {
+                                            return mCallers->HandleHere(std::move(aRequest));
+                                          },
+                                        .mMaximumBodyBytes = mSettings.mMaximumBodyBytes }));
+  asio::co_spawn(
+    context,
+    [this, links] {
+      return dispatch::Announce(mStore, dispatch::kFrontPrefix + mSettings.mNode,
+                                net::ToString(links));
+    },
+    asio::detached);
   BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
   BOOST_LEAF_ASSIGN(
     mMetricsServer,
--- a/source/daemons/front_process.h
+++ b/source/daemons/front_process.h
@@ -36,6 +36,8 @@
   std::unique_ptr<dispatch::caller_api> mCallers;
   net::http_router mReadinessRouter;
   std::unique_ptr<net::http_server> mCallerServer;
+  /// Calls that other fronts pass on.
+  std::unique_ptr<net::http_server> mForwardServer;
   std::unique_ptr<net::http_server> mReadinessServer;
   std::unique_ptr<net::http_server> mMetricsServer;
 };
--- a/source/daemons/side_process.cpp
+++ b/source/daemons/side_process.cpp
@@ -1,26 +1,19 @@
 #include "daemons/side_process.h"
 
 #include "daemons/node_ports.h"
+#include "dispatch/announcement.h"
 #include "dispatch/replica.h"
 #include "platform/instance_routes.h"
 
-#include <random>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rattanpond::daemons {
 
 namespace asio = boost::asio;
-using base::milliseconds;
 
 namespace {
 
-constexpr milliseconds kAnnounceTimeout{ 1000 };
-constexpr int kShortestRetryMs = 200;
-constexpr int kLongestRetryMs = 600;
 constexpr std::size_t kLargestHeartbeatBytes = 4 * 1024 * 1024;
 
 } // namespace
@@ -80,32 +73,15 @@
     base::Log("process")->info("reload accepted={}", base::Succeeded(loaded));
   });
   asio::co_spawn(
-    context, [this, links] { return Announce(net::ToString(links)); }, asio::detached);
+    context,
+    [this, links] {
+      return dispatch::Announce(mStore, dispatch::kSidePrefix + mSettings.mNode,
+                                net::ToString(links));
+    },
+    asio::detached);
   base::Log("process")->info("start role=side node={} domain={}", mSettings.mNode,
                              mSettings.mFailureDomain);
   return {};
 }
 
-asio::awaitable<void> side_process::Announce(std::string aLinks)
-{
-  std::minstd_rand random{ std::random_device{}() };
-  std::uniform_int_distribution<int> delay{ kShortestRetryMs, kLongestRetryMs };
-  dispatch::side_record const record{ .mAddress = std::move(aLinks) };
-  while (true) {
-    platform::row_transaction transaction{
-      .mChanges = { { dispatch::kTable, dispatch::kSidePrefix + mSettings.mNode,
-                      base::Encode(record).dump() } },
-    };
-    auto const result = co_await mStore.Commit(std::move(transaction), kAnnounceTimeout);
-    if (result.mOutcome == platform::commit_outcome::committed) {
-      base::Log("process")->info("announced address={} version={}", record.mAddress,
-                                 result.mVersion);
-      co_return;
-    }
-    asio::steady_timer timer{ mDaemon.Control(), milliseconds{ delay(random) } };
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  }
-}
-
 } // namespace rattanpond::daemons
--- a/source/daemons/side_process.h
+++ b/source/daemons/side_process.h
@@ -22,8 +22,6 @@
 private:
   explicit side_process(platform::deployment_settings aSettings);
   base::result<void> Start();
-  /// Writes the address of this side to the store, until that is certain.
-  boost::asio::awaitable<void> Announce(std::string aLinks);
 
   platform::deployment_settings mSettings;
   daemon_process mDaemon;
--- /dev/null
+++ b/source/dispatch/announcement.cpp
@@ -0,0 +1,52 @@
+#include "dispatch/announcement.h"
+
+#include "base/logging.h"
+#include "dispatch/replica.h"
+
+#include <random>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rattanpond::dispatch {
+
+namespace asio = boost::asio;
+using base::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTimeout{ 1000 };
+constexpr int kShortestRetryMs = 200;
+constexpr int kLongestRetryMs = 600;
+
+platform::row_transaction AddressTransaction(std::string const& aKey, std::string const& aAddress)
+{
+  platform::row_transaction transaction;
+  address_record const record{ .mAddress = aAddress };
+  transaction.mChanges.push_back({ kTable, aKey, base::Encode(record).dump() });
+  return transaction;
+}
+
+} // namespace
+
+asio::awaitable<void> Announce(platform::row_store& aStore, std::string aKey, std::string aAddress)
+{
+  std::minstd_rand random{ std::random_device{}() };
+  std::uniform_int_distribution<int> delay{ kShortestRetryMs, kLongestRetryMs };
+  while (true) {
+    auto transaction = AddressTransaction(aKey, aAddress);
+    auto const result = co_await aStore.Commit(std::move(transaction), kTimeout);
+    if (result.mOutcome == platform::commit_outcome::committed) {
+      base::Log("process")->info("announced key={} address={} version={}", aKey, aAddress,
+                                 result.mVersion);
+      co_return;
+    }
+    asio::steady_timer timer{ co_await asio::this_coro::executor, milliseconds{ delay(random) } };
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+} // namespace rattanpond::dispatch
--- /dev/null
+++ b/source/dispatch/call_forwarder.cpp
@@ -0,0 +1,77 @@
+#include "dispatch/call_forwarder.h"
+
+#include "base/logging.h"
+
+#include <algorithm>
+
+namespace rattanpond::dispatch {
+
+namespace asio = boost::asio;
+using base::milliseconds;
+
+namespace {
+
+/// A front that is served answers in tens of milliseconds.
+constexpr milliseconds kForwardTimeout{ 700 };
+constexpr milliseconds kConnectTimeout{ 300 };
+constexpr std::size_t kMaximumFronts = 3;
+
+} // namespace
+
+call_forwarder::call_forwarder(options aOptions)
+  : mOptions{ std::move(aOptions) }
+{
+}
+
+net::http_client* call_forwarder::Client(std::string const& aAddress)
+{
+  auto& client = mClients[aAddress];
+  if (!client) {
+    auto const endpoint = base::Capture([&] { return net::ParseEndpoint(aAddress); });
+    if (!base::Succeeded(endpoint)) {
+      return nullptr;
+    }
+    client = std::make_unique<net::http_client>(
+      mOptions.mContext, net::http_client::options{ .mEndpoint = std::get<0>(endpoint),
+                                                    .mConnectTimeout = kConnectTimeout });
+  }
+  return client.get();
+}
+
+asio::awaitable<std::optional<net::http_response>> call_forwarder::Forward(
+  net::http_request aRequest, base::time_point aDeadline)
+{
+  std::vector<std::pair<std::string, std::string>> others;
+  for (auto const& [node, record] : mOptions.mReplica.Fronts()) {
+    if (node != mOptions.mNode) {
+      others.emplace_back(node, record.mAddress);
+    }
+  }
+  std::ranges::stable_partition(others,
+                                [&](auto const& aOther) { return aOther.first == mPreferred; });
+  others.resize(std::min(others.size(), kMaximumFronts));
+  for (auto const& [node, address] : others) {
+    auto const left = std::min(kForwardTimeout, aDeadline - base::Now());
+    auto* const client = Client(address);
+    if (client == nullptr || left <= milliseconds{ 0 }) {
+      continue;
+    }
+    auto request = aRequest;
+    auto answer = co_await client->Send(std::move(request), left);
+    auto const status = base::Succeeded(answer) ? std::get<0>(answer).mStatus : 0U;
+    base::Log("caller")->info("forwarded method={} path={} to={} status={}", aRequest.mMethod,
+                              aRequest.mTarget, node, status);
+    if (status != 0 && status != 503 && status != 504) {
+      mPreferred = node;
+      auto response = std::move(std::get<0>(answer));
+      // The framing of the two connections differs; only what callers read is passed on.
+      net::http_response passed{ .mStatus = response.mStatus };
+      passed.mHeaders.Add("Content-Type", "application/json");
+      passed.mBody = std::move(response.mBody);
+      co_return passed;
+    }
+  }
+  co_return std::nullopt;
+}
+
+} // namespace rattanpond::dispatch
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/caller_api.h"
 
 #include "base/logging.h"
+#include "dispatch/retry_advice.h"
 #include "platform/job_wire.h"
 #include "platform/operator_rows.h"
 
@@ -23,24 +24,20 @@
 
 namespace {
 
-/// Share of the revocation bound after which an unconfirmed configuration admits no key.
-constexpr double kConfirmationShare = 0.5;
+/// Shares of the revocation bound: an unconfirmed configuration of this age admits no key, and one
+/// of this age makes the front ask the balancer for relief.
+constexpr double kAdmissionShare = 0.8;
+constexpr double kReadinessShare = 0.4;
 /// "No such job" needs rows confirmed within this time, well under the bound for visibility.
 constexpr milliseconds kJobsConfirmation{ 2000 };
-constexpr milliseconds kAttemptTimeout{ 900 };
+constexpr milliseconds kAttemptTimeout{ 700 };
 constexpr milliseconds kRetryPause{ 80 };
 /// Left of the caller's deadline for the answer's way back.
 constexpr milliseconds kAnswerReserve{ 250 };
 constexpr milliseconds kDefaultDeadline{ 3000 };
-constexpr char const* kRetrySoon = "1";
-
 http_response Plain(unsigned aStatus, std::string aReason)
 {
-  auto response = net::JsonResponse(aStatus, { { "error", std::move(aReason) } });
-  if (aStatus == 429 || aStatus == 503) {
-    response.mHeaders.Add("Retry-After", kRetrySoon);
-  }
-  return response;
+  return net::JsonResponse(aStatus, { { "error", std::move(aReason) } });
 }
 
 http_response Json(std::string aBody)
@@ -113,7 +110,24 @@
 
 caller_api::caller_api(options aOptions)
   : mOptions{ std::move(aOptions) }
+  , mForwarder{ { .mContext = mOptions.mContext,
+                  .mReplica = mOptions.mReplica,
+                  .mNode = mOptions.mSettings.mNode } }
+{
+}
+
+milliseconds caller_api::ConfirmationLimit(double aShare) const
+{
+  return milliseconds{ static_cast<std::int64_t>(
+    static_cast<double>(mOptions.mSettings.mRevocationBound.count()) * aShare) };
+}
+
+http_response caller_api::Refusal(unsigned aStatus, std::string aReason) const
 {
+  auto response = Plain(aStatus, std::move(aReason));
+  auto const wait = RetryAfter(base::Now() - mOptions.mReplica.JobsConfirmedAt());
+  response.mHeaders.Add("Retry-After", std::to_string(wait.count()));
+  return response;
 }
 
 milliseconds caller_api::ConfigurationAge() const
@@ -128,9 +142,8 @@
 
 bool caller_api::IsReady() const
 {
-  auto const limit = milliseconds{ static_cast<std::int64_t>(
-    static_cast<double>(mOptions.mSettings.mRevocationBound.count()) * kConfirmationShare) };
-  return !mIsShuttingDown && mOptions.mReplica.IsLoaded() && ConfigurationAge() < limit;
+  return !mIsShuttingDown && mOptions.mReplica.IsLoaded() &&
+         ConfigurationAge() < ConfirmationLimit(kReadinessShare);
 }
 
 std::variant<caller_api::admitted_call, http_response> caller_api::Admit(
@@ -138,7 +151,7 @@
 {
   auto const& configuration = mOptions.mReplica.Configuration();
   if (!configuration || !mOptions.mReplica.IsLoaded()) {
-    return Plain(503, "no configuration yet");
+    return Refusal(503, "no configuration yet");
   }
   auto host = aRequest.mHeaders.Value("Host");
   std::string_view path = aRequest.mTarget;
@@ -147,16 +160,17 @@
   if (queue == nullptr) {
     queue = configuration->Route(host.substr(0, host.rfind(':')), path);
   }
+  auto const isStale = ConfigurationAge() > ConfirmationLimit(kAdmissionShare);
   if (queue == nullptr) {
-    return Plain(404, "no queue has this host and path");
+    return isStale ? Refusal(503, "the configuration is not confirmed")
+                   : Plain(404, "no queue has this host and path");
   }
   auto const* const workspace =
     configuration->WorkspaceOfKey(std::string{ aRequest.mHeaders.Value(platform::kKeyHeader) });
   if (!queue->mIsPublic) {
-    auto const limit = milliseconds{ static_cast<std::int64_t>(
-      static_cast<double>(mOptions.mSettings.mRevocationBound.count()) * kConfirmationShare) };
-    if (ConfigurationAge() > limit) {
-      return Plain(503, "the configuration is not confirmed");
+    // A submission is checked again by the store against the newest configuration.
+    if (isStale && (aRequest.mMethod != "POST" || workspace == nullptr)) {
+      return Refusal(503, "the configuration is not confirmed");
     }
     if (workspace == nullptr) {
       return Plain(401, "the key is not known");
@@ -170,6 +184,31 @@
 }
 
 awaitable<http_response> caller_api::Handle(http_request aRequest)
+{
+  auto const deadline = Deadline(aRequest, base::Now());
+  auto const isCutOff = !mOptions.mReplica.IsStoreAnswering() ||
+                        ConfigurationAge() > ConfirmationLimit(kReadinessShare);
+  if (!isCutOff) {
+    auto copy = aRequest;
+    auto response = co_await HandleHere(std::move(copy));
+    if (response.mStatus != 503) {
+      co_return response;
+    }
+    auto passed = co_await mForwarder.Forward(std::move(aRequest), deadline);
+    if (passed) {
+      co_return std::move(*passed);
+    }
+    co_return response;
+  }
+  auto copy = aRequest;
+  auto passed = co_await mForwarder.Forward(std::move(copy), deadline);
+  if (passed) {
+    co_return std::move(*passed);
+  }
+  co_return co_await HandleHere(std::move(aRequest));
+}
+
+awaitable<http_response> caller_api::HandleHere(http_request aRequest)
 {
   auto admitted = Admit(aRequest);
   if (auto* const refusal = std::get_if<http_response>(&admitted)) {
@@ -213,6 +252,10 @@
   }
   auto const started = base::Now();
   auto const deadline = Deadline(aRequest, started);
+  if (!mOptions.mReplica.IsStoreAnswering()) {
+    // Nothing has been sent, so the refusal is true; waiting would only cost the caller time.
+    co_return Refusal(503, "the store is away");
+  }
   auto job = std::get<0>(std::move(parsed));
   bool isOutcomeOpen = false;
   while (true) {
@@ -247,16 +290,17 @@
       aCall = std::get<admitted_call>(std::move(again));
     }
     isOutcomeOpen = isOutcomeOpen || result.mOutcome == commit_outcome::unknown;
-    if (base::Now() + kRetryPause >= deadline ||
-        (result.mOutcome == commit_outcome::refused && !isOutcomeOpen)) {
+    auto const isHopeless =
+      base::Now() + kRetryPause >= deadline || !mOptions.mReplica.IsStoreAnswering();
+    if (isHopeless || (result.mOutcome == commit_outcome::refused && !isOutcomeOpen)) {
       // An attempt without an answer may still take effect, so nothing claims that it has not run.
       auto const status = isOutcomeOpen ? 504U : 503U;
       base::Log("caller")->info("submit job={} status={} outcome={} took_ms={}", id, status,
                                 static_cast<int>(result.mOutcome), took);
       if (isOutcomeOpen) {
-        co_return Plain(504, "the outcome is not known");
+        co_return Refusal(504, "the outcome is not known");
       }
-      co_return Plain(503, "the store is away");
+      co_return Refusal(503, "the store is away");
     }
     if (result.mOutcome != commit_outcome::conflict) {
       co_await Pause(kRetryPause);
@@ -286,10 +330,10 @@
                                 (base::Now() - started).count());
       co_return Plain(200, "cancelled");
     }
-    if (base::Now() + kRetryPause >= deadline) {
+    if (base::Now() + kRetryPause >= deadline || !mOptions.mReplica.IsStoreAnswering()) {
       base::Log("caller")->info("cancel job={} status=504 took_ms={}", id,
                                 (base::Now() - started).count());
-      co_return Plain(504, "the outcome is not known");
+      co_return Refusal(504, "the outcome is not known");
     }
     co_await Pause(kRetryPause);
   }
@@ -297,7 +341,7 @@
 
 http_response caller_api::UnknownJob() const
 {
-  return AreJobsConfirmed() ? Plain(410, "no such job") : Plain(503, "the store is away");
+  return AreJobsConfirmed() ? Plain(410, "no such job") : Refusal(503, "the store is away");
 }
 
 http_response caller_api::Status(admitted_call const& aCall) const
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "dispatch/call_forwarder.h"
 #include "dispatch/replica.h"
 #include "net/http_message.h"
 #include "platform/deployment_settings.h"
@@ -18,6 +19,7 @@
 public:
   struct options
   {
+    boost::asio::io_context& mContext;
     platform::row_store& mStore;
     replica& mReplica;
     platform::deployment_settings const& mSettings;
@@ -26,7 +28,10 @@
 
   explicit caller_api(options aOptions);
 
+  /// A call of a caller; one that the store keeps this front from serving is passed on.
   boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest);
+  /// A call that another front passes on: served here or refused.
+  boost::asio::awaitable<net::http_response> HandleHere(net::http_request aRequest);
 
   /// Whether new connections should come here.
   bool IsReady() const;
@@ -55,7 +60,12 @@
   bool AreJobsConfirmed() const;
   base::milliseconds ConfigurationAge() const;
 
+  base::milliseconds ConfirmationLimit(double aShare) const;
+  /// A refusal that tells the caller when it is worth coming back.
+  net::http_response Refusal(unsigned aStatus, std::string aReason) const;
+
   options mOptions;
+  call_forwarder mForwarder;
   bool mIsShuttingDown = false;
 };
 
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -76,7 +76,6 @@
 
 awaitable<void> replica::FollowOwnRows()
 {
-  bool wasAnswering = true;
   while (true) {
     auto const isWhole = !mIsLoaded;
     auto const askedAt = base::Now();
@@ -93,16 +92,16 @@
         continue;
       }
       mLease.StoreFailed();
-      if (wasAnswering) {
+      if (mIsStoreAnswering) {
         base::Log("replica")->warn("store-lost table={}", kTable);
-        wasAnswering = false;
+        mIsStoreAnswering = false;
       }
       co_await Pause();
       continue;
     }
-    if (!wasAnswering) {
+    if (!mIsStoreAnswering) {
       base::Log("replica")->info("store-regained table={} version={}", kTable, read.mVersion);
-      wasAnswering = true;
+      mIsStoreAnswering = true;
     }
     mLease.StoreAnswered(base::Now());
     mJobsConfirmedAt = askedAt;
@@ -251,7 +250,9 @@
       mStops[*stopped] = aRow.mVersion;
     }
   } else if (auto const node = After(aRow.mKey, kSidePrefix)) {
-    ApplySide(*node, aRow);
+    ApplyAddress(mSides, *node, aRow);
+  } else if (auto const front = After(aRow.mKey, kFrontPrefix)) {
+    ApplyAddress(mFronts, *front, aRow);
   } else if (aRow.mKey == kTermKey) {
     ApplyTerm(aRow);
   } else if (aRow.mKey == kPulseKey) {
@@ -334,13 +335,13 @@
   }
 }
 
-void replica::ApplySide(std::string const& aNode, store_row const& aRow)
+void replica::ApplyAddress(address_book& aBook, std::string const& aNode, store_row const& aRow)
 {
-  auto side = aRow.mIsDeleted ? std::nullopt : DecodeValue<side_record>(aRow);
-  if (side) {
-    mSides[aNode] = std::move(*side);
+  auto address = aRow.mIsDeleted ? std::nullopt : DecodeValue<address_record>(aRow);
+  if (address) {
+    aBook[aNode] = std::move(*address);
   } else {
-    mSides.erase(aNode);
+    aBook.erase(aNode);
   }
 }
 
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -23,6 +23,7 @@
 inline constexpr char const* kStatePrefix = "run/";
 inline constexpr char const* kStopPrefix = "stop/";
 inline constexpr char const* kSidePrefix = "side/";
+inline constexpr char const* kFrontPrefix = "front/";
 
 /// Who schedules.
 struct term_record
@@ -40,16 +41,19 @@
   }
 };
 
-struct side_record
+/// Where a process of ours listens for the others.
+struct address_record
 {
   std::string mAddress;
 
   static constexpr auto Fields()
   {
-    return std::make_tuple(base::Required("address", &side_record::mAddress));
+    return std::make_tuple(base::Required("address", &address_record::mAddress));
   }
 };
 
+using address_book = std::map<std::string, address_record>;
+
 /// All rows that a front needs, kept current by following the store. Never goes back to an older
 /// version of a row.
 class replica
@@ -84,7 +88,8 @@
   term_record const& Term() const { return mTerm; }
   std::uint64_t TermVersion() const { return mTermVersion; }
   term_lease& Lease() { return mLease; }
-  std::map<std::string, side_record> const& Sides() const { return mSides; }
+  address_book const& Sides() const { return mSides; }
+  address_book const& Fronts() const { return mFronts; }
 
   std::shared_ptr<operator_configuration const> const& Configuration() const
   {
@@ -96,6 +101,8 @@
   /// When the last answer was asked for that confirmed the operators' rows.
   base::time_point OperatorRowsConfirmedAt() const { return mOperatorConfirmedAt; }
   base::time_point JobsConfirmedAt() const { return mJobsConfirmedAt; }
+  /// False from a failed answer of the store to the next good one.
+  bool IsStoreAnswering() const { return mIsStoreAnswering; }
   bool IsLoaded() const { return mIsLoaded && mIsOperatorLoaded && mConfiguration != nullptr; }
 
 private:
@@ -110,10 +117,12 @@
   void ApplyState(std::string const& aId, platform::store_row const& aRow);
   void ApplyTerm(platform::store_row const& aRow);
   void ApplyPulse(platform::store_row const& aRow);
-  void ApplySide(std::string const& aNode, platform::store_row const& aRow);
+  static void ApplyAddress(address_book& aBook, std::string const& aNode,
+                           platform::store_row const& aRow);
   void ApplyConfiguration(platform::store_row const& aRow);
 
   options mOptions;
+  bool mIsStoreAnswering = true;
   bool mIsLoaded = false;
   bool mIsOperatorLoaded = false;
   std::uint64_t mVersion = 0;
@@ -125,7 +134,8 @@
   /// States that arrived before their job.
   std::map<std::string, platform::store_row> mEarlyStates;
   std::map<std::string, std::uint64_t> mStops;
-  std::map<std::string, side_record> mSides;
+  address_book mSides;
+  address_book mFronts;
   term_record mTerm;
   std::uint64_t mTermVersion = 0;
   term_lease mLease;
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/job_record.h"
 #include "dispatch/lease_terms.h"
+#include "dispatch/retry_advice.h"
 #include "dispatch/run_progress.h"
 #include "dispatch/term_lease.h"
 #include "dispatch/worker_health.h"
@@ -122,6 +123,15 @@
   BOOST_TEST(CertainLapse(milliseconds{ 1000 }) < CertainLapse(milliseconds{ 10'000 }));
 }
 
+// Load pattern: a store outage of unknown length. Guards against callers that use up their attempts
+// before it ends, and against long waits after a short one.
+BOOST_AUTO_TEST_CASE(callers_come_back_after_as_long_as_the_outage_has_lasted)
+{
+  BOOST_TEST(RetryAfter(milliseconds{ 0 }).count() == 1);
+  BOOST_TEST(RetryAfter(milliseconds{ 1800 }).count() == 2);
+  BOOST_TEST(RetryAfter(milliseconds{ 60'000 }) == kLongestRetry);
+}
+
 // Load pattern: tasks on some workers stand still while heartbeats go on. Guards against runs that
 // hold their accelerators until the lease ends, and against stopping long runs that progress
 // slowly.
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -1,3 +1,4 @@
+#define BOOST_TEST_MODULE dispatch
 #include "dispatch/placement_decision.h"
 
 #include <boost/test/unit_test.hpp>
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -62,7 +62,12 @@
   message.target(aRequest.mTarget);
   message.set(http::field::host, aHost);
   for (auto const& [name, value] : aRequest.mHeaders) {
-    message.insert(name, value);
+    // A request that is passed on keeps the host that its caller named.
+    if (beast::iequals(name, "Host")) {
+      message.set(http::field::host, value);
+    } else {
+      message.insert(name, value);
+    }
   }
   message.body() = std::move(aRequest.mBody);
   message.prepare_payload();
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -67,8 +67,8 @@
 struct http_response
 {
   unsigned mStatus = 200;
-  http_headers mHeaders;
-  std::string mBody;
+  http_headers mHeaders{};
+  std::string mBody{};
   answer_transfer mTransfer = answer_transfer::whole;
 };
 
--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -173,12 +173,17 @@
     return router;
   }
 
+  static name NameOf(base::json const& aEntry)
+  {
+    return { aEntry.at("table").get<std::string>(), aEntry.at("key").get<std::string>() };
+  }
+
   net::http_response Transact(base::json const& aBody)
   {
     base::json current = base::json::array();
     bool isHeld = true;
     for (auto const& condition : aBody["expect_rev"]) {
-      name const rowName{ condition["table"], condition["key"] };
+      auto const rowName = NameOf(condition);
       auto const found = mRows.find(rowName);
       auto const version = found == mRows.end() ? 0 : found->second.mVersion;
       isHeld = isHeld && version == condition["ver"].get<std::uint64_t>();
@@ -196,10 +201,10 @@
       auto const encoded = put["value"].get<std::string>();
       std::string text(base64::decoded_size(encoded.size()), '\0');
       text.resize(base64::decode(text.data(), encoded.data(), encoded.size()).first);
-      Apply({ put["table"], put["key"] }, text);
+      Apply(NameOf(put), text);
     }
     for (auto const& removal : aBody["remove"]) {
-      Apply({ removal["table"], removal["key"] }, std::nullopt);
+      Apply(NameOf(removal), std::nullopt);
     }
     return net::JsonResponse(200, { { "ver", mVersion }, { "now_ms", 1 } });
   }
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -60,6 +60,13 @@
   return std::string(16 - text.size(), '0') + text;
 }
 
+/// Whether a front may pass a call on.
+enum class via
+{
+  any,
+  here
+};
+
 /// An entry with a context of its own, so that a test can freeze or end it alone.
 struct test_front
 {
@@ -76,11 +83,24 @@
                     .mSettings = mSettings,
                     .mMetrics = mMetrics,
                     .mIncarnation = aName } }
-    , mCallers{
-      { .mStore = mStore, .mReplica = mReplica, .mSettings = mSettings, .mMetrics = mMetrics }
-    }
+    , mCallers{ { .mContext = mContext,
+                  .mStore = mStore,
+                  .mReplica = mReplica,
+                  .mSettings = mSettings,
+                  .mMetrics = mMetrics } }
   {
     mSettings.mNode = aName;
+    auto created = base::Capture([&] {
+      return net::http_server::Create(mContext,
+                                      { .mEndpoint = { asio::ip::address_v4::loopback(), 0 },
+                                        .mHandler = [this](net::http_request aRequest) {
+                                          return mCallers.HandleHere(std::move(aRequest));
+                                        } });
+    });
+    BOOST_REQUIRE(base::Succeeded(created));
+    mForwarded = std::move(std::get<0>(created));
+    aStore.Put(dispatch::kTable, dispatch::kFrontPrefix + aName,
+               base::json{ { "address", net::ToString(mForwarded->Endpoint()) } }.dump());
     mReplica.Start();
     mScheduler.Start();
   }
@@ -93,6 +113,7 @@
   dispatch::replica mReplica;
   dispatch::scheduler mScheduler;
   dispatch::caller_api mCallers;
+  std::unique_ptr<net::http_server> mForwarded;
   bool mIsFrozen = false;
 };
 
@@ -212,7 +233,7 @@
   }
 
   unsigned Call(test_front& aFront, std::string aMethod, std::string aPath, std::string aBody = {},
-                std::string const& aKey = kKey)
+                std::string const& aKey = kKey, via aVia = via::any)
   {
     net::http_request request{ .mMethod = std::move(aMethod), .mTarget = std::move(aPath) };
     request.mHeaders.Add("Host", "h");
@@ -233,7 +254,7 @@
     if (status != 200) {
       return std::to_string(status);
     }
-    return base::json::parse(mLastBody)["state"];
+    return base::json::parse(mLastBody).at("state").get<std::string>();
   }
 
   bool Ends(std::string const& aPath, std::string const& aState,
@@ -347,7 +368,7 @@
   auto& standby = cluster.Standby();
   standby.mDoor.mBehaviour = fake_row_store::behaviour::loses_answers;
   auto const path = "/u/" + JobId(5);
-  auto const status = cluster.Call(standby, "POST", path, JobBody(2, 1));
+  auto const status = cluster.Call(standby, "POST", path, JobBody(2, 1), kKey, via::here);
   BOOST_TEST(status == 504U);
   standby.mDoor.mBehaviour = fake_row_store::behaviour::serves;
   auto* const holder = cluster.Holder();
@@ -367,7 +388,8 @@
   test_cluster cluster;
   auto& standby = cluster.Standby();
   standby.mDoor.mBehaviour = fake_row_store::behaviour::refuses;
-  BOOST_TEST(cluster.Call(standby, "POST", "/u/" + JobId(6), JobBody(1, 1)) == 503U);
+  auto const path = "/u/" + JobId(6);
+  BOOST_TEST(cluster.Call(standby, "POST", path, JobBody(1, 1), kKey, via::here) == 503U);
   cluster.For(milliseconds{ 500 });
   BOOST_TEST(cluster.mJournal.TasksStarted() == 0U);
 }
