--- a/source/base/logging.cpp
+++ b/source/base/logging.cpp
@@ -1,7 +1,12 @@
 #include "base/logging.h"
 
+#include "base/nonblocking_sink.h"
+
+#include <memory>
 #include <mutex>
 
+#include <unistd.h>
+
 #include <spdlog/sinks/stdout_sinks.h>
 
 namespace rattanpond::base {
@@ -13,6 +18,8 @@
   std::mutex mMutex;
   std::string mPattern = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
   spdlog::level::level_enum mLevel = spdlog::level::info;
+  /// Shared by all parts, so that their lines do not mix; null for standard error.
+  spdlog::sink_ptr mOutput;
 };
 
 logging_state& State()
@@ -38,11 +45,14 @@
 
 } // namespace
 
-void ConfigureLogging(log_level aLevel, std::string const& aProcess)
+void ConfigureLogging(log_level aLevel, std::string const& aProcess, log_target aTarget)
 {
   auto& state = State();
   std::lock_guard const lock{ state.mMutex };
   state.mLevel = ToSpdlog(aLevel);
+  if (aTarget == log_target::standard_output && !state.mOutput) {
+    state.mOutput = std::make_shared<nonblocking_sink>(STDOUT_FILENO);
+  }
   state.mPattern = "%Y-%m-%dT%H:%M:%S.%e %L " + aProcess + " %n: %v";
   spdlog::apply_all([&](std::shared_ptr<spdlog::logger> const& aLogger) {
     aLogger->set_level(state.mLevel);
@@ -57,7 +67,13 @@
   if (auto existing = spdlog::get(aPart)) {
     return existing;
   }
-  auto logger = spdlog::stderr_logger_mt(aPart);
+  std::shared_ptr<spdlog::logger> logger;
+  if (state.mOutput) {
+    logger = std::make_shared<spdlog::logger>(aPart, state.mOutput);
+    spdlog::register_logger(logger);
+  } else {
+    logger = spdlog::stderr_logger_mt(aPart);
+  }
   logger->set_level(state.mLevel);
   logger->set_pattern(state.mPattern);
   logger->flush_on(spdlog::level::info);
--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -28,6 +28,7 @@
 front_process::front_process(platform::deployment_settings aSettings)
   : mSettings{ std::move(aSettings) }
   , mDaemon{ { .mName = mSettings.mNode,
+               .mLogTarget = base::log_target::standard_output,
                .mShutdownLimit = mSettings.mTermination - kTerminationReserve } }
   , mStore{ mDaemon.Control(), mSettings.mStore }
 {
--- a/source/daemons/side_process.cpp
+++ b/source/daemons/side_process.cpp
@@ -20,7 +20,7 @@
 
 side_process::side_process(platform::deployment_settings aSettings)
   : mSettings{ std::move(aSettings) }
-  , mDaemon{ { .mName = mSettings.mNode } }
+  , mDaemon{ { .mName = mSettings.mNode, .mLogTarget = base::log_target::standard_output } }
   , mStore{ mDaemon.Control(), mSettings.mStore }
 {
 }
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -32,6 +32,8 @@
   /// Progress as the worker lists it, and when it last changed.
   std::int64_t mProgress = 0;
   base::time_point mProgressAt{};
+  /// Time between the last two changes of the progress.
+  base::milliseconds mProgressInterval{ 0 };
   /// Checkpoint that the worker lists for the current run.
   std::string mSeenCheckpoint;
   /// Worker of the last failed run; the next attempt goes elsewhere if it can.
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -62,8 +62,12 @@
     auto const contains = [](std::vector<std::string> const& aList, std::string const& aText) {
       return std::ranges::find(aList, aText) != aList.end();
     };
-    return aWorker.mTakesStarts && aWorker.mService == aGroup.mService &&
-           aWorker.mCapacity.Covers(shape.mNeed) &&
+    // Tasks that fill idle processors disturb those that serve users, by amounts that nobody knows
+    // beforehand, so the two are kept apart.
+    auto const isDisturbed = (shape.mFillsIdle && aWorker.mHasServing) ||
+                             (shape.mServingTarget.count() > 0 && aWorker.mHasFilling);
+    return aWorker.mTakesStarts && !isDisturbed && aWorker.mService == aGroup.mService &&
+           aWorker.mCapacity.Covers(Need(shape)) &&
            (shape.mRequiredLabel.empty() || contains(aWorker.mLabels, shape.mRequiredLabel)) &&
            (!aGroup.mAllowed || contains(*aGroup.mAllowed, aWorker.mWorker));
   }
@@ -140,7 +144,7 @@
     std::optional<std::size_t> best;
     auto const limit = LimitPerWorker(aGroup);
     for (auto const index : aMembers) {
-      if (!aFree[index].Covers(aGroup.mShape->mNeed) ||
+      if (!aFree[index].Covers(Need(*aGroup.mShape)) ||
           Count(aGroup, index) + Value(aPlaced, index) >= limit) {
         continue;
       }
@@ -180,7 +184,7 @@
       if (!best) {
         return std::nullopt;
       }
-      aFree[*best] -= aGroup.mShape->mNeed;
+      aFree[*best] -= Need(*aGroup.mShape);
       ++placed[*best];
       chosen.push_back(*best);
     }
@@ -189,8 +193,11 @@
 
   void Start(waiting_group const& aGroup, std::size_t aTask, std::size_t aWorker)
   {
-    mFree[aWorker] -= aGroup.mShape->mNeed;
-    mSoon[aWorker] -= aGroup.mShape->mNeed;
+    mFree[aWorker] -= Need(*aGroup.mShape);
+    mSoon[aWorker] -= Need(*aGroup.mShape);
+    mWorkers[aWorker].mHasServing =
+      mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
+    mWorkers[aWorker].mHasFilling = mWorkers[aWorker].mHasFilling || aGroup.mShape->mFillsIdle;
     mDecision.mStarts.push_back({ aGroup.mJob,
                                   { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
                                   mWorkers[aWorker].mWorker });
@@ -200,8 +207,8 @@
   void Claim(waiting_group const& aGroup, positions const& aChosen)
   {
     for (auto const worker : aChosen) {
-      mFree[worker] -= aGroup.mShape->mNeed;
-      mSoon[worker] -= aGroup.mShape->mNeed;
+      mFree[worker] -= Need(*aGroup.mShape);
+      mSoon[worker] -= Need(*aGroup.mShape);
     }
   }
 
@@ -290,7 +297,7 @@
       return std::pair{ -static_cast<std::int64_t>(mRuns[aRun].mPriority), mRuns[aRun].mLostWork };
     });
     for (auto const run : possible) {
-      if (aFree.Covers(aGroup.mShape->mNeed)) {
+      if (aFree.Covers(Need(*aGroup.mShape))) {
         break;
       }
       victims.insert(run);
@@ -299,7 +306,7 @@
         aFree += mRuns[run].mNeed;
       }
     }
-    if (!aFree.Covers(aGroup.mShape->mNeed)) {
+    if (!aFree.Covers(Need(*aGroup.mShape))) {
       return std::nullopt;
     }
     return victims;
@@ -343,7 +350,7 @@
         Return(mRuns[run], soon);
         result.mVictims.insert(run);
       }
-      soon[*best] -= aGroup.mShape->mNeed;
+      soon[*best] -= Need(*aGroup.mShape);
       ++placed[*best];
       result.mChosen.push_back(*best);
       result.mLostWork += bestLost;
@@ -371,6 +378,16 @@
     Claim(aGroup, best->mChosen);
   }
 
+  /// What a start takes from a worker: the processors of a task that fills are not counted.
+  static amounts Need(job_step const& aShape)
+  {
+    auto need = aShape.mNeed;
+    if (aShape.mFillsIdle) {
+      need.mMillicores = 0;
+    }
+    return need;
+  }
+
   std::vector<worker_offer> mWorkers;
   std::vector<preemptible_run> const& mRuns;
   std::vector<bool> mIsStopped;
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -20,6 +20,9 @@
   amounts mCapacity{};
   /// Capacity less all runs that may live there.
   amounts mFree{};
+  /// Tasks that serve users run here, or tasks that fill what others leave idle.
+  bool mHasServing = false;
+  bool mHasFilling = false;
   /// Nothing starts on a worker that drains, is evacuated, does not answer or is set aside.
   bool mTakesStarts = true;
 };
--- a/source/dispatch/run_progress.h
+++ b/source/dispatch/run_progress.h
@@ -12,21 +12,27 @@
   /// When the listed percentage last changed, or the run started.
   base::time_point mSince{};
   base::milliseconds mExpected{ 0 };
-  bool mHasProgress = false;
+  /// Time between the last two changes; 0 before the second.
+  base::milliseconds mLastInterval{ 0 };
+  /// Has not begun to work and may wait for the other members of its gang.
+  bool mMayWaitForMembers = false;
 };
 
 /// Shortest time without progress that counts as standing still: two reports and a margin.
-inline constexpr base::milliseconds kStallLimit{ 3000 };
-/// A run that has not begun to work may wait for the other members of its gang.
-inline constexpr base::milliseconds kFirstProgressLimit{ 4500 };
+inline constexpr base::milliseconds kStallLimit{ 2400 };
+/// Members of a gang wait for each other before they begin.
+inline constexpr base::milliseconds kGangStallLimit{ 4500 };
+/// A run that has made progress at some pace may take this many times as long for the next step.
+inline constexpr std::int64_t kSlowestPace = 3;
 /// Percentages change every hundredth of the run time; estimates are off by several times.
 inline constexpr std::int64_t kStallShareOfRun = 10;
 
 /// Answers the pattern in which tasks on some workers stand still while the worker looks healthy.
 inline bool IsStalled(run_progress const& aProgress, base::time_point aNow)
 {
-  auto const shortest = aProgress.mHasProgress ? kStallLimit : kFirstProgressLimit;
-  return aNow - aProgress.mSince > std::max(shortest, aProgress.mExpected / kStallShareOfRun);
+  auto const shortest = aProgress.mMayWaitForMembers ? kGangStallLimit : kStallLimit;
+  return aNow - aProgress.mSince > std::max({ shortest, aProgress.mExpected / kStallShareOfRun,
+                                              aProgress.mLastInterval * kSlowestPace });
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -114,7 +114,10 @@
       if (job->Step(aPosition).mFillsIdle) {
         need.mMillicores = 0;
       }
-      offers[found->second].mFree -= need;
+      auto& offer = offers[found->second];
+      offer.mFree -= need;
+      offer.mHasServing = offer.mHasServing || job->Step(aPosition).mServingTarget.count() > 0;
+      offer.mHasFilling = offer.mHasFilling || job->Step(aPosition).mFillsIdle;
     });
   }
   return offers;
@@ -225,6 +228,10 @@
         return;
       }
       auto const& step = job->Step(aPosition);
+      if (step.mIsLongRunning) {
+        // Tasks that last serve users of their own; a stop would count against what may be missing.
+        return;
+      }
       auto const key = std::pair{ aPosition.mOccurrence, aPosition.mStep };
       std::size_t position = runs.size();
       if (step.mIsGang && gangs.contains(key)) {
@@ -294,6 +301,7 @@
     task.mStartedAt = {};
     task.mSeenCheckpoint.clear();
     task.mProgress = 0;
+    task.mProgressInterval = milliseconds{ 0 };
     task.mProgressAt = now;
     mPlanned.push_back({ start.mJob, start.mPosition, run, start.mWorker });
     mDirty.insert(start.mJob);
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -268,6 +268,7 @@
       }
     }
     if (run.mPercent != task->mProgress) {
+      task->mProgressInterval = task->mProgress > 0 ? now - task->mProgressAt : milliseconds{ 0 };
       task->mProgress = run.mPercent;
       task->mProgressAt = now;
     }
@@ -441,11 +442,12 @@
       if (found == mSessions.end() || aNow - found->second->mReportedAt > kReportAge ||
           !IsStalled({ .mSince = std::max(aTask.mProgressAt, mHolderSince),
                        .mExpected = ExpectedRunTime(*job, step),
-                       .mHasProgress = aTask.mProgress > 0 },
+                       .mLastInterval = aTask.mProgressInterval,
+                       .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0 },
                      aNow)) {
         return;
       }
-      found->second->mHealth.Failed(id, aNow);
+      found->second->mHealth.Stalled(aNow);
       aTask.mFailedOn = aTask.mState.mWorker;
       mOptions.mMetrics.Counter("rattanpond_stalled_runs").Add();
       OrderStop(*job, aPosition, "the run makes no progress");
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -137,20 +137,30 @@
 // slowly.
 BOOST_AUTO_TEST_CASE(a_run_without_progress_is_stalled)
 {
-  run_progress const shortRun{ .mSince = At(0),
-                               .mExpected = milliseconds{ 5000 },
-                               .mHasProgress = true };
-  BOOST_TEST(!IsStalled(shortRun, At(3000)));
-  BOOST_TEST(IsStalled(shortRun, At(3001)));
-  run_progress const waiting{ .mSince = At(0),
-                              .mExpected = milliseconds{ 5000 },
-                              .mHasProgress = false };
-  BOOST_TEST(!IsStalled(waiting, At(3001)));
-  BOOST_TEST(IsStalled(waiting, At(4501)));
-  run_progress const hours{ .mSince = At(0),
-                            .mExpected = milliseconds{ 3'600'000 },
-                            .mHasProgress = true };
+  run_progress const shortRun{ .mSince = At(0), .mExpected = milliseconds{ 5000 } };
+  BOOST_TEST(!IsStalled(shortRun, At(2400)));
+  BOOST_TEST(IsStalled(shortRun, At(2401)));
+  run_progress const member{ .mSince = At(0),
+                             .mExpected = milliseconds{ 5000 },
+                             .mMayWaitForMembers = true };
+  BOOST_TEST(!IsStalled(member, At(2401)));
+  BOOST_TEST(IsStalled(member, At(4501)));
+  run_progress const hours{ .mSince = At(0), .mExpected = milliseconds{ 3'600'000 } };
   BOOST_TEST(!IsStalled(hours, At(300'000)));
+  // A declared time that is far too short does not condemn a run that moves on at a steady pace.
+  run_progress const steady{ .mSince = At(0),
+                             .mExpected = milliseconds{ 500 },
+                             .mLastInterval = milliseconds{ 2000 } };
+  BOOST_TEST(!IsStalled(steady, At(6000)));
+}
+
+// Guards against further tasks on a worker on which one stands still.
+BOOST_AUTO_TEST_CASE(a_worker_rests_after_a_stalled_run)
+{
+  worker_health health;
+  health.Stalled(At(0));
+  BOOST_TEST(health.IsResting(At(1)));
+  BOOST_TEST(!health.IsResting(At(0) + worker_health::kRest));
 }
 
 // Guards against one worker that attracts work because it fails it quickly, and against blaming it
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -192,6 +192,24 @@
   BOOST_TEST(decision.mStarts.front().mJob == "timely");
 }
 
+// Guards against tasks that fill idle processors beside tasks whose users wait for answers.
+BOOST_AUTO_TEST_CASE(filling_and_serving_tasks_are_kept_apart)
+{
+  auto serving = Step(1, 1, false);
+  serving.mServingTarget = base::milliseconds{ 50 };
+  auto filling = Step(1, 0, false);
+  filling.mFillsIdle = true;
+  filling.mNeed.mMillicores = 640'000;
+  auto const one = DecidePlacement({ Offer("w1", "r1") },
+                                   { Group("serving", serving, 0), Group("filling", filling) }, {});
+  BOOST_REQUIRE(one.mStarts.size() == 1U);
+  BOOST_TEST(one.mStarts.front().mJob == "serving");
+  auto const two = DecidePlacement({ Offer("w1", "r1"), Offer("w2", "r1") },
+                                   { Group("serving", serving, 0), Group("filling", filling) }, {});
+  BOOST_REQUIRE(two.mStarts.size() == 2U);
+  BOOST_TEST(two.mStarts[0].mWorker != two.mStarts[1].mWorker);
+}
+
 BOOST_AUTO_TEST_CASE(requirements_of_a_step_are_kept)
 {
   auto labelled = Step(1, 1, false);
--- a/source/dispatch/worker_health.h
+++ b/source/dispatch/worker_health.h
@@ -33,6 +33,10 @@
     }
   }
 
+  /// A run without progress speaks against the worker at once: a job cannot make itself stand
+  /// still.
+  void Stalled(base::time_point aNow) { mRestsUntil = aNow + kRest; }
+
   void Succeeded()
   {
     mFailures.clear();
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -240,8 +240,11 @@
     request.mHeaders.Add("Api-Key", aKey);
     request.mBody = std::move(aBody);
     std::optional<net::http_response> response;
+    auto& callers = aFront.mCallers;
     asio::co_spawn(
-      aFront.mContext, aFront.mCallers.Handle(std::move(request)),
+      aFront.mContext,
+      aVia == via::any ? callers.Handle(std::move(request))
+                       : callers.HandleHere(std::move(request)),
       [&](std::exception_ptr, net::http_response aResponse) { response = std::move(aResponse); });
     BOOST_REQUIRE(Until([&] { return response.has_value(); }));
     mLastBody = response->mBody;
