--- a/source/daemons/side_process.cpp
+++ b/source/daemons/side_process.cpp
@@ -67,10 +67,12 @@
   mDaemon.StateDump().Register("side", [this] { return mAgent->Dump(); });
   mDaemon.OnReload([this] {
     auto loaded = base::Capture([] { return platform::LoadDeploymentSettings(); });
-    if (base::Succeeded(loaded)) {
-      mSettings = std::get<0>(std::move(loaded));
+    if (!base::Succeeded(loaded)) {
+      base::Log("process")->error("reload-refused reason=\"{}\"", base::Error(loaded).mMessage);
+      return;
     }
-    base::Log("process")->info("reload accepted={}", base::Succeeded(loaded));
+    mSettings = std::get<0>(std::move(loaded));
+    base::Log("process")->info("reload");
   });
   asio::co_spawn(
     context,
--- a/source/dispatch/call_forwarder.cpp
+++ b/source/dispatch/call_forwarder.cpp
@@ -47,8 +47,8 @@
       others.emplace_back(node, record.mAddress);
     }
   }
-  std::ranges::stable_partition(others,
-                                [&](auto const& aOther) { return aOther.first == mPreferred; });
+  std::stable_partition(others.begin(), others.end(),
+                        [&](auto const& aOther) { return aOther.first == mPreferred; });
   others.resize(std::min(others.size(), kMaximumFronts));
   for (auto const& [node, address] : others) {
     auto const left = std::min(kForwardTimeout, aDeadline - base::Now());
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -108,8 +108,8 @@
 
 } // namespace
 
-caller_api::caller_api(options aOptions)
-  : mOptions{ std::move(aOptions) }
+caller_api::caller_api(options const& aOptions)
+  : mOptions{ aOptions }
   , mForwarder{ { .mContext = mOptions.mContext,
                   .mReplica = mOptions.mReplica,
                   .mNode = mOptions.mSettings.mNode } }
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -26,7 +26,7 @@
     base::metrics_registry& mMetrics;
   };
 
-  explicit caller_api(options aOptions);
+  explicit caller_api(options const& aOptions);
 
   /// A call of a caller; one that the store keeps this front from serving is passed on.
   boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest);
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -201,6 +201,16 @@
   }
 }
 
+void scheduler::ForEachTask(
+  std::function<void(job_record&, task_position const&, tracked_task&)> const& aVisit)
+{
+  for (auto const& entry : mOptions.mReplica.Jobs()) {
+    auto& job = *entry.second;
+    job.ForEachTask(
+      [&](task_position const& aPosition, tracked_task& aTask) { aVisit(job, aPosition, aTask); });
+  }
+}
+
 void scheduler::SynchronizeSessions()
 {
   auto const& sides = mOptions.mReplica.Sides();
@@ -260,14 +270,12 @@
   session.mStarts.clear();
   session.mStops.clear();
   base::Log("scheduler")->info("side-lost node={}", aNode);
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const&, tracked_task& aTask) {
-      if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aNode &&
-          (aTask.mContact == run_contact::ordering || aTask.mContact == run_contact::stopping)) {
-        aTask.mContact = run_contact::unsettled;
-      }
-    });
-  }
+  ForEachTask([&](job_record&, task_position const&, tracked_task& aTask) {
+    if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aNode &&
+        (aTask.mContact == run_contact::ordering || aTask.mContact == run_contact::stopping)) {
+      aTask.mContact = run_contact::unsettled;
+    }
+  });
 }
 
 void scheduler::CloseSilentLinks(base::time_point aNow)
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -108,6 +108,9 @@
   void EndWithoutResult(job_record& aJob, task_position const& aPosition, std::string const& aWhy);
   void OrderStop(job_record& aJob, task_position const& aPosition, std::string const& aWhy);
   void StopPartialGang(job_record& aJob, task_position const& aPosition);
+  /// Visits the tasks of all jobs.
+  void ForEachTask(
+    std::function<void(job_record&, task_position const&, tracked_task&)> const& aVisit);
   void UpdatePhase(job_record& aJob);
   void ApplyCancellations();
   void ExpireLeases(base::time_point aNow);
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -104,22 +104,20 @@
     index[node] = offers.size();
     offers.push_back(std::move(offer));
   }
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      auto const found = index.find(aTask.mState.mWorker);
-      if (aTask.mState.mStatus != task_status::active || found == index.end()) {
-        return;
-      }
-      auto need = job->Step(aPosition).mNeed;
-      if (job->Step(aPosition).mFillsIdle) {
-        need.mMillicores = 0;
-      }
-      auto& offer = offers[found->second];
-      offer.mFree -= need;
-      offer.mHasServing = offer.mHasServing || job->Step(aPosition).mServingTarget.count() > 0;
-      offer.mHasFilling = offer.mHasFilling || job->Step(aPosition).mFillsIdle;
-    });
-  }
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    auto const found = index.find(aTask.mState.mWorker);
+    if (aTask.mState.mStatus != task_status::active || found == index.end()) {
+      return;
+    }
+    auto need = aJob.Step(aPosition).mNeed;
+    if (aJob.Step(aPosition).mFillsIdle) {
+      need.mMillicores = 0;
+    }
+    auto& offer = offers[found->second];
+    offer.mFree -= need;
+    offer.mHasServing = offer.mHasServing || aJob.Step(aPosition).mServingTarget.count() > 0;
+    offer.mHasFilling = offer.mHasFilling || aJob.Step(aPosition).mFillsIdle;
+  });
   return offers;
 }
 
@@ -220,14 +218,16 @@
 {
   std::vector<preemptible_run> runs;
   auto const guaranteed = GuaranteedJobs();
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
+  for (auto const& entry : mOptions.mReplica.Jobs()) {
+    auto& job = *entry.second;
+    auto const isGuaranteed = guaranteed.contains(job.Id());
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::size_t> gangs;
-    auto const priority = PriorityOf(*job);
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
+    auto const priority = PriorityOf(job);
+    job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
       if (aTask.mState.mStatus != task_status::active) {
         return;
       }
-      auto const& step = job->Step(aPosition);
+      auto const& step = job.Step(aPosition);
       if (step.mIsLongRunning) {
         // Tasks that last serve users of their own; a stop would count against what may be missing.
         return;
@@ -238,16 +238,16 @@
         position = gangs[key];
       } else {
         gangs[key] = position;
-        runs.push_back({ .mJob = id,
+        runs.push_back({ .mJob = job.Id(),
                          .mNeed = step.mNeed,
                          .mPriority = priority,
-                         .mIsGuaranteed = guaranteed.contains(id) });
+                         .mIsGuaranteed = isGuaranteed });
       }
       auto& run = runs[position];
       run.mTasks.push_back(aPosition);
       run.mWorkers.push_back(aTask.mState.mWorker);
       run.mIsStopping =
-        run.mIsStopping || aTask.mContact == run_contact::stopping || IsFinal(job->Phase());
+        run.mIsStopping || aTask.mContact == run_contact::stopping || IsFinal(job.Phase());
       auto const since = aTask.mStartedAt == base::time_point{} ? aNow : aTask.mStartedAt;
       auto const seconds = static_cast<double>((aNow - since).count()) / kMillisecondsPerSecond;
       run.mLostWork +=
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -89,14 +89,12 @@
   aSession.mNotedEnd = 0;
   aSession.mStoredEnd = 0;
   aSession.mHealth = {};
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aSession.mNode &&
-          aTask.mState.mWorkerBorn < aBorn) {
-        EndWithoutResult(*job, aPosition, "the worker's incarnation is gone");
-      }
-    });
-  }
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aSession.mNode &&
+        aTask.mState.mWorkerBorn < aBorn) {
+      EndWithoutResult(aJob, aPosition, "the worker's incarnation is gone");
+    }
+  });
 }
 
 void scheduler::ApplyEnds(session& aSession)
@@ -328,19 +326,17 @@
 
 void scheduler::SettleMissing(session& aSession, std::set<std::string> const& aListed)
 {
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      auto const isHere = aTask.mState.mStatus == task_status::active &&
-                          aTask.mState.mWorker == aSession.mNode &&
-                          aTask.mState.mWorkerBorn == aSession.mReport.mBorn;
-      auto const shouldBeListed =
-        aTask.mContact == run_contact::unsettled || aTask.mContact == run_contact::running;
-      if (isHere && shouldBeListed &&
-          !aListed.contains(RunKey(TaskName(id, aPosition), aTask.mState.mRun))) {
-        OrderStop(*job, aPosition, "the worker does not list the run");
-      }
-    });
-  }
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    auto const isHere = aTask.mState.mStatus == task_status::active &&
+                        aTask.mState.mWorker == aSession.mNode &&
+                        aTask.mState.mWorkerBorn == aSession.mReport.mBorn;
+    auto const shouldBeListed =
+      aTask.mContact == run_contact::unsettled || aTask.mContact == run_contact::running;
+    if (isHere && shouldBeListed &&
+        !aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
+      OrderStop(aJob, aPosition, "the worker does not list the run");
+    }
+  });
 }
 
 void scheduler::SendOrders(session& aSession)
@@ -382,17 +378,19 @@
 
 void scheduler::ApplyCancellations()
 {
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    if (mOptions.mReplica.StopVersion(id) == 0 || IsFinal(job->Phase())) {
+  for (auto const& entry : mOptions.mReplica.Jobs()) {
+    auto const& id = entry.first;
+    auto& job = *entry.second;
+    if (mOptions.mReplica.StopVersion(id) == 0 || IsFinal(job.Phase())) {
       continue;
     }
     base::Log("scheduler")->info("job-cancelled job={}", id);
-    job->SetPhase(job_phase::cancelled);
+    job.SetPhase(job_phase::cancelled);
     mDirty.insert(id);
     mEndedJobs.emplace(id, base::Now());
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
+    job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
       if (aTask.mState.mStatus == task_status::active) {
-        OrderStop(*job, aPosition, "the job was cancelled");
+        OrderStop(job, aPosition, "the job was cancelled");
       }
     });
   }
@@ -401,78 +399,71 @@
 void scheduler::ExpireLeases(base::time_point aNow)
 {
   auto const lapse = CertainLapse(mOptions.mSettings.mLongestLease);
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      if (aTask.mState.mStatus != task_status::active) {
-        return;
-      }
-      auto const found = mSessions.find(aTask.mState.mWorker);
-      auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
-      if (session == nullptr || !session->mHasReport) {
-        if (aNow > mHolderSince + lapse) {
-          EndWithoutResult(*job, aPosition, "the lease has lapsed since the takeover");
-        }
-        return;
-      }
-      if (session->mReport.mBorn != aTask.mState.mWorkerBorn) {
-        return;
-      }
-      // A side that cannot reach its worker does not renew; one that is silent may for a while.
-      auto const lapsesAt =
-        std::max(session->mReportedAt +
-                   (session->mReport.mState == worker_state::absent ? milliseconds{ 0 } : lapse),
-                 session->mLeaseLapsesAt);
-      if (aNow > lapsesAt && aTask.mContact != run_contact::planned) {
-        EndWithoutResult(*job, aPosition, "the lease has lapsed");
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (aTask.mState.mStatus != task_status::active) {
+      return;
+    }
+    auto const found = mSessions.find(aTask.mState.mWorker);
+    auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
+    if (session == nullptr || !session->mHasReport) {
+      if (aNow > mHolderSince + lapse) {
+        EndWithoutResult(aJob, aPosition, "the lease has lapsed since the takeover");
       }
-    });
-  }
+      return;
+    }
+    if (session->mReport.mBorn != aTask.mState.mWorkerBorn) {
+      return;
+    }
+    // A side that cannot reach its worker does not renew; one that is silent may for a while.
+    auto const lapsesAt =
+      std::max(session->mReportedAt +
+                 (session->mReport.mState == worker_state::absent ? milliseconds{ 0 } : lapse),
+               session->mLeaseLapsesAt);
+    if (aNow > lapsesAt && aTask.mContact != run_contact::planned) {
+      EndWithoutResult(aJob, aPosition, "the lease has lapsed");
+    }
+  });
 }
 
 void scheduler::StopStalledRuns(base::time_point aNow)
 {
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      auto const& step = job->Step(aPosition);
-      if (aTask.mState.mStatus != task_status::active || aTask.mContact != run_contact::running ||
-          step.mIsLongRunning) {
-        return;
-      }
-      auto const found = mSessions.find(aTask.mState.mWorker);
-      if (found == mSessions.end() || aNow - found->second->mReportedAt > kReportAge ||
-          !IsStalled({ .mSince = std::max(aTask.mProgressAt, mHolderSince),
-                       .mExpected = ExpectedRunTime(*job, step),
-                       .mLastInterval = aTask.mProgressInterval,
-                       .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0 },
-                     aNow)) {
-        return;
-      }
-      found->second->mHealth.Stalled(aNow);
-      aTask.mFailedOn = aTask.mState.mWorker;
-      mOptions.mMetrics.Counter("rattanpond_stalled_runs").Add();
-      OrderStop(*job, aPosition, "the run makes no progress");
-    });
-  }
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    auto const& step = aJob.Step(aPosition);
+    if (aTask.mState.mStatus != task_status::active || aTask.mContact != run_contact::running ||
+        step.mIsLongRunning) {
+      return;
+    }
+    auto const found = mSessions.find(aTask.mState.mWorker);
+    if (found == mSessions.end() || aNow - found->second->mReportedAt > kReportAge ||
+        !IsStalled({ .mSince = std::max(aTask.mProgressAt, mHolderSince),
+                     .mExpected = ExpectedRunTime(aJob, step),
+                     .mLastInterval = aTask.mProgressInterval,
+                     .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0 },
+                   aNow)) {
+      return;
+    }
+    found->second->mHealth.Stalled(aNow);
+    aTask.mFailedOn = aTask.mState.mWorker;
+    mOptions.mMetrics.Counter("rattanpond_stalled_runs").Add();
+    OrderStop(aJob, aPosition, "the run makes no progress");
+  });
 }
 
 void scheduler::ExpireOrders(base::time_point aNow)
 {
-  for (auto& [id, job] : mOptions.mReplica.Jobs()) {
-    job->ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
-      if (aTask.mState.mStatus != task_status::active) {
-        return;
-      }
-      if (aTask.mContact == run_contact::ordering && aNow - aTask.mContactSince > kOrderLimit) {
-        OrderStop(*job, aPosition, "no result of the start");
-      } else if (aTask.mContact == run_contact::stopping &&
-                 aNow - aTask.mContactSince > kStopLimit) {
-        aTask.mContact = run_contact::unsettled;
-        OrderStop(*job, aPosition, "no result of the stop");
-      } else if (IsFinal(job->Phase())) {
-        OrderStop(*job, aPosition, "the job has ended");
-      }
-    });
-  }
+  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (aTask.mState.mStatus != task_status::active) {
+      return;
+    }
+    if (aTask.mContact == run_contact::ordering && aNow - aTask.mContactSince > kOrderLimit) {
+      OrderStop(aJob, aPosition, "no result of the start");
+    } else if (aTask.mContact == run_contact::stopping && aNow - aTask.mContactSince > kStopLimit) {
+      aTask.mContact = run_contact::unsettled;
+      OrderStop(aJob, aPosition, "no result of the stop");
+    } else if (IsFinal(aJob.Phase())) {
+      OrderStop(aJob, aPosition, "the job has ended");
+    }
+  });
 }
 
 } // namespace rattanpond::dispatch
