--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rattanpond::dispatch {
@@ -162,7 +163,12 @@
   std::uint32_t mStep = 0;
   std::uint32_t mIndex = 0;
 
-  auto operator<=>(task_position const&) const = default;
+  bool operator==(task_position const&) const = default;
+  bool operator<(task_position const& aOther) const
+  {
+    return std::tie(mOccurrence, mStep, mIndex) <
+           std::tie(aOther.mOccurrence, aOther.mStep, aOther.mIndex);
+  }
 };
 
 /// Task name "<job>.<occurrence>.<step>.<index>".
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// Pulses end most polls earlier; a short wait keeps the standby's knowledge of silence fresh.
-constexpr base::milliseconds kOwnRowsWait{ 700 };
+constexpr base::milliseconds kOwnRowsWait{ 500 };
 /// Bounds the age of a confirmed configuration.
 constexpr base::milliseconds kOperatorRowsWait{ 900 };
 constexpr base::milliseconds kReadTimeout{ 1000 };
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "dispatch/failure_history.h"
 #include "dispatch/messages.h"
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
@@ -146,6 +147,7 @@
   std::set<std::string> mDirty;
   std::vector<planned_start> mPlanned;
   std::optional<batch> mBatch;
+  failure_history mFailures;
   /// Run times by queue, declared against real.
   placement::run_time_estimator mRunTimes;
   bool mIsPumpPosted = false;
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -153,7 +153,10 @@
   } else {
     task.mState.mStatus = task_status::waiting;
     if (aEnd.mEnd == run_end::failed) {
-      health.Failed(aJob.Id(), now);
+      if (mFailures.SpeaksAgainstWorker(aJob.Id(), task.mState.mWorker)) {
+        health.Failed(aEnd.mTask, now);
+      }
+      mFailures.Failed(aJob.Id(), task.mState.mWorker);
       task.mFailedOn = task.mState.mWorker;
       NoteFailure(aJob, aPosition);
     }
@@ -372,6 +375,7 @@
     }
   }
   if (IsFinal(aJob.Phase())) {
+    mFailures.Forget(aJob.Id());
     mEndedJobs.emplace(aJob.Id(), base::Now());
   }
 }
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds kIdleReportInterval{ 1500 };
 /// A worker whose lists could not be read for this long counts as absent.
 constexpr milliseconds kAbsentAfter{ 1500 };
-/// Heartbeats come every 1.5 s; one that stays out for this long means that the worker is gone.
-constexpr milliseconds kHeartbeatSilence{ 6000 };
 /// A scheduler that has not answered for this long is cut off; another may dial.
 constexpr milliseconds kSchedulerSilence{ 3000 };
 constexpr int kStartAttempts = 3;
@@ -41,8 +39,8 @@
 
 } // namespace
 
-side_agent::side_agent(options aOptions)
-  : mOptions{ std::move(aOptions) }
+side_agent::side_agent(options const& aOptions)
+  : mOptions{ aOptions }
   , mOrderTimer{ mOptions.mContext }
   , mReportTimer{ mOptions.mContext }
   , mHoldTimer{ mOptions.mContext }
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -28,7 +28,7 @@
     base::metrics_registry& mMetrics;
   };
 
-  explicit side_agent(options aOptions);
+  explicit side_agent(options const& aOptions);
   ~side_agent();
 
   base::result<void> Start(net::tcp::endpoint const& aLinks);
--- a/source/dispatch/worker_health.h
+++ b/source/dispatch/worker_health.h
@@ -13,22 +13,22 @@
 class worker_health
 {
 public:
-  /// Distinct jobs that must fail in a row before the worker is set aside.
-  static constexpr std::size_t kDistinctJobs = 2;
+  /// Distinct tasks that must fail in a row before the worker is set aside.
+  static constexpr std::size_t kDistinctTasks = 2;
   /// Failures older than this say nothing about the worker now.
   static constexpr base::milliseconds kMemory{ 12'000 };
   /// Time before a worker that was set aside is tried again.
   static constexpr base::milliseconds kRest{ 6'000 };
 
-  void Failed(std::string const& aJob, base::time_point aNow)
+  void Failed(std::string const& aTask, base::time_point aNow)
   {
-    mFailures.push_back({ aJob, aNow });
+    mFailures.push_back({ aTask, aNow });
     Forget(aNow);
-    std::set<std::string> jobs;
+    std::set<std::string> tasks;
     for (auto const& failure : mFailures) {
-      jobs.insert(failure.mJob);
+      tasks.insert(failure.mTask);
     }
-    if (jobs.size() >= kDistinctJobs) {
+    if (tasks.size() >= kDistinctTasks) {
       mRestsUntil = aNow + kRest;
     }
   }
@@ -48,7 +48,7 @@
 private:
   struct failure
   {
-    std::string mJob;
+    std::string mTask;
     base::time_point mAt;
   };
 
