--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -35,7 +35,11 @@
 /// Returns nothing for an entry that is not a row: other writers may store anything.
 std::optional<store_row> DecodeRow(base::json const& aEntry)
 {
-  if (!aEntry.is_object() || aEntry.value("part", base::json("")) != "") {
+  if (!aEntry.is_object()) {
+    return std::nullopt;
+  }
+  auto const part = aEntry.find("part");
+  if (part != aEntry.end() && *part != base::json("")) {
     return std::nullopt;
   }
   auto const table = aEntry.find("table");
