Dispatch: Bound leases over changes of the scheduler and of a side

Cause, found by reading the change: a holder that was cut off from the store renewed leases for as long as it reached a side, while a new holder counted them as lapsed 11 s after its takeover; a new life of a side reported no lease left before it had read the worker's clock; the goodbye of a worker was applied before the ends that it listed. Each could start a task twice. Ruled out: a separate clock of confirmed pulses; the followed rows already tell when the store last answered. Before: a_holder_without_the_store_renews_no_leases_for_ever and a_new_side_does_not_know_a_lease_to_have_lapsed fail; after: both pass.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -19,6 +19,12 @@
 constexpr milliseconds kStopLimit{ 1500 };
 /// Progress is judged only on fresh lists; sides report each second while they have runs.
 constexpr milliseconds kReportAge{ 1500 };
+/// A holder that has not heard from the store for this long may have been replaced, and renews no
+/// leases any more: the next holder must be able to tell when they have lapsed. Longer than the
+/// usual outage of the store, so that work outlives one.
+constexpr milliseconds kTermConfidence{ 6000 };
+/// Sequence numbers of reports begin with 1.
+constexpr std::uint64_t kNoReport = 0;
 /// After a refused start, its worker is left alone for about the time in which a stop frees room.
 constexpr milliseconds kRefusalRest{ 400 };
 
@@ -63,10 +69,6 @@
   aSession.mLeaseLapsesAt = now + aReport.mLeaseLeft + kLapseMargin;
   aSession.mReport = std::move(aReport);
   auto const& report = aSession.mReport;
-  if (report.mState == worker_state::gone) {
-    // Everything on a worker ends when it leaves.
-    ReplaceIncarnation(aSession, report.mBorn + 1);
-  }
   std::set<std::string> listed;
   for (auto const& run : report.mRunning) {
     listed.insert(RunKey(run.mTask, run.mRun));
@@ -77,6 +79,10 @@
   ApplyEnds(aSession);
   ApplyRunning(aSession);
   ApplyResults(aSession, listed);
+  if (report.mState == worker_state::gone) {
+    // Everything on a worker ends when it leaves; the ends that it listed before count.
+    ReplaceIncarnation(aSession, report.mBorn + 1);
+  }
   if (report.mHasLists) {
     SettleMissing(aSession, listed);
   }
@@ -347,8 +353,9 @@
   if (!aSession.mLink || !aSession.mHasReport) {
     return;
   }
+  auto const age = base::Now() - mOptions.mReplica.JobsConfirmedAt();
   side_orders orders{ .mTerm = mTerm,
-                      .mAnswers = aSession.mReport.mSequence,
+                      .mAnswers = age > kTermConfidence ? kNoReport : aSession.mReport.mSequence,
                       .mWorker = aSession.mReport.mWorker,
                       .mBorn = aSession.mReport.mBorn,
                       .mAcknowledged = aSession.mStoredEnd,
@@ -410,7 +417,8 @@
     auto const found = mSessions.find(aTask.mState.mWorker);
     auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
     if (session == nullptr || !session->mHasReport) {
-      if (aNow > mHolderSince + lapse) {
+      // The former holder may have renewed leases for as long as it trusted its term.
+      if (aNow > mHolderSince + kTermConfidence + lapse) {
         EndWithoutResult(aJob, aPosition, "the lease has lapsed since the takeover");
       }
       return;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -116,7 +116,11 @@
                             aHeartbeat.mBorn, aHeartbeat.mService);
     mHasLists = false;
     mLists = {};
+    // A former life of this process may have renewed the lease until just now, so without a clock
+    // of the worker the lease counts as whole from this moment on.
     mLease = {};
+    mLease.mReadAt = base::Now();
+    mLease.mLatestDeadlineMs = NextDeadline();
     mAcknowledged = 0;
     mResults.clear();
     mUnlistedResults.clear();
@@ -213,10 +217,14 @@
   };
   auto const hasChanged = !mHasLists || !sameRuns(mLists.mRunning, aLists.mRunning) ||
                           !sameRuns(mLists.mEnded, aLists.mEnded);
+  mLease.mClockMs = aLists.mClockMs;
+  if (!mHasLists) {
+    // The first clock that is read: the same assumption, on that clock.
+    mLease.mLatestDeadlineMs = NextDeadline();
+  }
   mLists = std::move(aLists);
   mListsAt = now;
   mHasLists = true;
-  mLease.mClockMs = mLists.mClockMs;
   mLease.mReadAt = now;
   if (mState == worker_state::absent) {
     mState = mHeartbeat->mState;
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -552,6 +552,65 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a task that starts again while its run lives on under a lease that the former life
+// of the side has renewed: the new life has read no clock yet and must not call the lease lapsed.
+BOOST_AUTO_TEST_CASE(a_new_side_does_not_know_a_lease_to_have_lapsed)
+{
+  asio::io_context workers{ 1 };
+  fake_row_store store{ workers };
+  run_journal journal;
+  test_side side{ store, workers, journal, "side", "zone" };
+  side.mWorker.mFaults.mIsMute = true;
+  asio::io_context scheduler{ 1 };
+  std::vector<dispatch::side_report> reports;
+  net::link_dialer dialer{ scheduler,
+                           { .mEndpoint = side.mAgent->Links(),
+                             .mHandlers = { .mOnFrame =
+                                              [&](net::link_ptr const&, net::frame aFrame) {
+                                                auto decoded = base::Capture([&] {
+                                                  return net::DecodeMessage<dispatch::side_report>(
+                                                    aFrame);
+                                                });
+                                                BOOST_REQUIRE(base::Succeeded(decoded));
+                                                reports.push_back(std::get<0>(std::move(decoded)));
+                                              },
+                                            .mOnClose = {} },
+                             .mOnOpen = [&](net::link_ptr const& aLink) {
+                               aLink->Send(dispatch::side_orders{ .mTerm = 1 });
+                             } } };
+  side.Beat();
+  auto const limit = base::Now() + milliseconds{ 2500 };
+  while (base::Now() < limit) {
+    for (auto* const context : { &workers, &scheduler, &side.mContext }) {
+      context->restart();
+      context->poll();
+    }
+    std::this_thread::sleep_for(milliseconds{ 1 });
+  }
+  BOOST_REQUIRE(!reports.empty());
+  BOOST_TEST(reports.back().mBorn != 0);
+  BOOST_TEST((reports.back().mState == dispatch::worker_state::absent));
+  BOOST_TEST((reports.back().mLeaseLeft > milliseconds{ 4000 }));
+}
+
+// Guards against leases that a holder goes on renewing after it may have been replaced: the next
+// holder would start their tasks a second time.
+BOOST_AUTO_TEST_CASE(a_holder_without_the_store_renews_no_leases_for_ever)
+{
+  test_cluster cluster{ 2, 1 };
+  cluster.mSides[0]->mWorker.mWork = milliseconds{ 60'000 };
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(30), JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 1; }));
+  for (auto const& front : cluster.mFronts) {
+    front->mDoor.mBehaviour = fake_row_store::behaviour::refuses;
+  }
+  cluster.For(milliseconds{ 9000 });
+  // Work outlives an outage of the store.
+  BOOST_TEST(cluster.mSides[0]->mWorker.mLapses == 0U);
+  BOOST_TEST(
+    cluster.Until([&] { return cluster.mSides[0]->mWorker.mLapses == 1; }, milliseconds{ 12'000 }));
+}
+
 // Found by a hunt (arla-sched, mix, seed 1053276559579): a task ran twice at once, because a report
 // said that its run was stopped beside lists that were older than its start.
 BOOST_AUTO_TEST_CASE(a_stop_is_reported_with_lists_that_are_newer)
