Dispatch: Derive the deletions of a full read in one place

The two tables that a front follows each had a copy of the loop. Behaviour is unchanged; flow_test's cases on lost history, refused stores, revoked keys, evacuation and takeover pass, and the linter is clean.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -38,6 +38,32 @@
   return aKey.substr(aPrefix.size());
 }
 
+std::set<std::string> Keys(platform::read_result const& aRead)
+{
+  std::set<std::string> keys;
+  for (auto const& row : aRead.mRows) {
+    keys.insert(row.mKey);
+  }
+  return keys;
+}
+
+/// A deletion for each row of a table that is known and that a read of the whole table lacks.
+std::vector<store_row> Deletions(
+  std::string const& aTable,
+  std::map<std::pair<std::string, std::string>, std::uint64_t> const& aKnown,
+  platform::read_result const& aRead)
+{
+  auto const present = Keys(aRead);
+  std::vector<store_row> deletions;
+  for (auto const& [name, version] : aKnown) {
+    if (name.first == aTable && !present.contains(name.second) && version <= aRead.mVersion) {
+      deletions.push_back(
+        { .mTable = aTable, .mKey = name.second, .mVersion = aRead.mVersion, .mIsDeleted = true });
+    }
+  }
+  return deletions;
+}
+
 template<class T>
 std::optional<T> DecodeValue(store_row const& aRow)
 {
@@ -175,22 +201,13 @@
 
 void replica::ApplyWhole(platform::read_result const& aRead)
 {
-  std::set<std::string> present;
-  for (auto const& row : aRead.mRows) {
-    present.insert(row.mKey);
-  }
-  std::vector<std::string> absent;
-  for (auto const& [name, version] : mVersions) {
-    if (name.first == kTable && !present.contains(name.second) && version <= aRead.mVersion) {
-      absent.push_back(name.second);
-    }
-  }
-  for (auto const& key : absent) {
-    ApplyOwn({ .mTable = kTable, .mKey = key, .mVersion = aRead.mVersion, .mIsDeleted = true });
+  for (auto const& row : Deletions(kTable, mVersions, aRead)) {
+    ApplyOwn(row);
   }
   for (auto const& row : aRead.mRows) {
     ApplyOwn(row);
   }
+  auto const present = Keys(aRead);
   for (auto& [id, job] : mJobs) {
     if (!present.contains(kStatePrefix + id) && !mOptions.mIsWriter()) {
       job->ResetState();
@@ -200,22 +217,8 @@
 
 void replica::ApplyOperatorWhole(platform::read_result const& aRead)
 {
-  std::set<std::string> present;
-  for (auto const& row : aRead.mRows) {
-    present.insert(row.mKey);
-  }
-  std::vector<std::string> absent;
-  for (auto const& [name, version] : mVersions) {
-    if (name.first == platform::kOperatorTable && !present.contains(name.second) &&
-        version <= aRead.mVersion) {
-      absent.push_back(name.second);
-    }
-  }
-  for (auto const& key : absent) {
-    ApplyOperator({ .mTable = platform::kOperatorTable,
-                    .mKey = key,
-                    .mVersion = aRead.mVersion,
-                    .mIsDeleted = true });
+  for (auto const& row : Deletions(platform::kOperatorTable, mVersions, aRead)) {
+    ApplyOperator(row);
   }
   for (auto const& row : aRead.mRows) {
     ApplyOperator(row);
