Dispatch, Daemons: Remove dead code and what stands twice

Removed, as nothing calls it: the parser of upkeep waves (every worker has a side, and the platform refuses upkeep of such machines), replica::Forget, job_record::HasActiveTasks, the services of the configuration, and eight settings that nothing read.

One piece each, in place of copies: the sleep of a coroutine (four), the set-up, reload and metrics of both roles (node_process), the search for the run that a worker's list names (three), and what a task takes from its worker (two).

Visits of active tasks pass over jobs that have ended and whose runs are gone, and a plan works out the guaranteed jobs once. Both grew with all jobs of the last four minutes. dispatch_tests, and wire_test and flow_test of platform_tests pass.

--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -2,13 +2,11 @@
 
 #include "base/identifiers.h"
 #include "daemons/node_ports.h"
-#include "dispatch/announcement.h"
+#include "net/sleep.h"
 #include "platform/instance_routes.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rattanpond::daemons {
 
@@ -25,19 +23,15 @@
 
 } // namespace
 
-front_process::front_process(platform::deployment_settings aSettings)
-  : mSettings{ std::move(aSettings) }
-  , mDaemon{ { .mName = mSettings.mNode,
-               .mLogTarget = base::log_target::standard_output,
-               .mShutdownLimit = mSettings.mTermination - kTerminationReserve } }
-  , mStore{ mDaemon.Control(), mSettings.mStore }
+front_process::front_process(platform::deployment_settings const& aSettings)
+  : node_process{ aSettings, aSettings.mTermination - kTerminationReserve }
 {
 }
 
 base::result<std::unique_ptr<front_process>> front_process::Create(
-  platform::deployment_settings aSettings)
+  platform::deployment_settings const& aSettings)
 {
-  std::unique_ptr<front_process> created{ new front_process{ std::move(aSettings) } };
+  std::unique_ptr<front_process> created{ new front_process{ aSettings } };
   BOOST_LEAF_CHECK(created->Start());
   return created;
 }
@@ -93,56 +87,27 @@
                                             return mCallers->HandleHere(std::move(aRequest));
                                           },
                                         .mMaximumBodyBytes = mSettings.mMaximumBodyBytes }));
-  asio::co_spawn(
-    context,
-    [this, links] {
-      return dispatch::Announce(mStore, dispatch::kFrontPrefix + mSettings.mNode,
-                                net::ToString(links));
-    },
-    asio::detached);
-  BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
-  BOOST_LEAF_ASSIGN(
-    mMetricsServer,
-    net::http_server::Create(
-      context, { .mEndpoint = metrics, .mHandler = [this](net::http_request aRequest) {
-                  return mDaemon.Router().Handle(std::move(aRequest));
-                } }));
+  Announce(dispatch::kFrontPrefix, links);
+  BOOST_LEAF_CHECK(ServeMetrics());
   mDaemon.OnShutdown([this] {
     asio::co_spawn(
       mDaemon.Control(), [this] { return Shutdown(); }, asio::detached);
   });
-  mDaemon.OnReload([this] { Reload(); });
   mReplica->Start();
   mScheduler->Start();
-  base::Log("process")->info("start role=front node={} domain={}", mSettings.mNode,
-                             mSettings.mFailureDomain);
+  LogStart("front");
   return {};
 }
 
-void front_process::Reload()
-{
-  auto loaded = base::Capture([] { return platform::LoadDeploymentSettings(); });
-  if (!base::Succeeded(loaded)) {
-    base::Log("process")->error("reload-refused reason=\"{}\"", base::Error(loaded).mMessage);
-    return;
-  }
-  // Addresses stay as they are until a restart; all else takes effect at once.
-  mSettings = std::get<0>(std::move(loaded));
-  base::Log("process")->info("reload");
-}
-
 asio::awaitable<void> front_process::Shutdown()
 {
   mCallers->BeginShutdown();
   mCallerServer->AnnounceClose();
   co_await mScheduler->Release();
-  asio::steady_timer timer{ mDaemon.Control(), kRotationNotice };
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_await net::Sleep(kRotationNotice);
   mCallerServer->Drain();
   while (mCallerServer->ActiveRequests() > 0) {
-    timer.expires_after(kDrainPoll);
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await net::Sleep(kDrainPoll);
   }
   mDaemon.Finish();
 }
--- a/source/daemons/front_process.h
+++ b/source/daemons/front_process.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "daemons/daemon_process.h"
+#include "daemons/node_process.h"
 #include "dispatch/caller_api.h"
 #include "dispatch/replica.h"
 #include "dispatch/scheduler.h"
-#include "net/http_server.h"
-#include "platform/deployment_settings.h"
-#include "platform/row_store.h"
 
 #include <memory>
 
@@ -14,23 +11,17 @@
 
 /// An entry instance on the users' platform: serves callers, follows the store, and schedules while
 /// it holds the term.
-class front_process
+class front_process : public node_process
 {
 public:
   static base::result<std::unique_ptr<front_process>> Create(
-    platform::deployment_settings aSettings);
-
-  void Run() { mDaemon.Run(); }
+    platform::deployment_settings const& aSettings);
 
 private:
-  explicit front_process(platform::deployment_settings aSettings);
+  explicit front_process(platform::deployment_settings const& aSettings);
   base::result<void> Start();
   boost::asio::awaitable<void> Shutdown();
-  void Reload();
 
-  platform::deployment_settings mSettings;
-  daemon_process mDaemon;
-  platform::row_store mStore;
   std::unique_ptr<dispatch::replica> mReplica;
   std::unique_ptr<dispatch::scheduler> mScheduler;
   std::unique_ptr<dispatch::caller_api> mCallers;
@@ -39,7 +30,6 @@
   /// Calls that other fronts pass on.
   std::unique_ptr<net::http_server> mForwardServer;
   std::unique_ptr<net::http_server> mReadinessServer;
-  std::unique_ptr<net::http_server> mMetricsServer;
 };
 
 } // namespace rattanpond::daemons
--- a/source/daemons/node_main.cpp
+++ b/source/daemons/node_main.cpp
@@ -13,7 +13,7 @@
 base::result<void> RunProcess()
 {
   BOOST_LEAF_AUTO(settings, platform::LoadDeploymentSettings());
-  BOOST_LEAF_AUTO(process, Process::Create(std::move(settings)));
+  BOOST_LEAF_AUTO(process, Process::Create(settings));
   process->Run();
   return {};
 }
--- /dev/null
+++ b/source/daemons/node_process.cpp
@@ -0,0 +1,64 @@
+#include "daemons/node_process.h"
+
+#include "daemons/node_ports.h"
+#include "dispatch/announcement.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace rattanpond::daemons {
+
+namespace asio = boost::asio;
+
+node_process::node_process(platform::deployment_settings aSettings,
+                           base::milliseconds aShutdownLimit)
+  : mSettings{ std::move(aSettings) }
+  , mDaemon{ { .mName = mSettings.mNode,
+               .mLogTarget = base::log_target::standard_output,
+               .mShutdownLimit = aShutdownLimit } }
+  , mStore{ mDaemon.Control(), mSettings.mStore }
+{
+  mDaemon.OnReload([this] { Reload(); });
+}
+
+base::result<void> node_process::ServeMetrics()
+{
+  BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
+  BOOST_LEAF_ASSIGN(
+    mMetricsServer,
+    net::http_server::Create(
+      mDaemon.Control(), { .mEndpoint = metrics, .mHandler = [this](net::http_request aRequest) {
+                            return mDaemon.Router().Handle(std::move(aRequest));
+                          } }));
+  return {};
+}
+
+void node_process::Announce(std::string const& aPrefix, net::tcp::endpoint const& aLinks)
+{
+  asio::co_spawn(
+    mDaemon.Control(),
+    [this, key = aPrefix + mSettings.mNode, address = net::ToString(aLinks)] {
+      return dispatch::Announce(mStore, key, address);
+    },
+    asio::detached);
+}
+
+void node_process::LogStart(std::string_view aRole) const
+{
+  base::Log("process")->info("start role={} node={} domain={}", aRole, mSettings.mNode,
+                             mSettings.mFailureDomain);
+}
+
+void node_process::Reload()
+{
+  auto loaded = base::Capture([] { return platform::LoadDeploymentSettings(); });
+  if (!base::Succeeded(loaded)) {
+    base::Log("process")->error("reload-refused reason=\"{}\"", base::Error(loaded).mMessage);
+    return;
+  }
+  // Addresses stay as they are until a restart; all else takes effect at once.
+  mSettings = std::get<0>(std::move(loaded));
+  base::Log("process")->info("reload");
+}
+
+} // namespace rattanpond::daemons
--- a/source/daemons/side_process.cpp
+++ b/source/daemons/side_process.cpp
@@ -1,34 +1,26 @@
 #include "daemons/side_process.h"
 
 #include "daemons/node_ports.h"
-#include "dispatch/announcement.h"
 #include "dispatch/replica.h"
 #include "platform/instance_routes.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace rattanpond::daemons {
 
-namespace asio = boost::asio;
-
 namespace {
 
 constexpr std::size_t kLargestHeartbeatBytes = 4 * 1024 * 1024;
 
 } // namespace
 
-side_process::side_process(platform::deployment_settings aSettings)
-  : mSettings{ std::move(aSettings) }
-  , mDaemon{ { .mName = mSettings.mNode, .mLogTarget = base::log_target::standard_output } }
-  , mStore{ mDaemon.Control(), mSettings.mStore }
+side_process::side_process(platform::deployment_settings const& aSettings)
+  : node_process{ aSettings, aSettings.mTermination }
 {
 }
 
 base::result<std::unique_ptr<side_process>> side_process::Create(
-  platform::deployment_settings aSettings)
+  platform::deployment_settings const& aSettings)
 {
-  std::unique_ptr<side_process> created{ new side_process{ std::move(aSettings) } };
+  std::unique_ptr<side_process> created{ new side_process{ aSettings } };
   BOOST_LEAF_CHECK(created->Start());
   return created;
 }
@@ -57,32 +49,10 @@
                                             return mHeartbeatRouter.Handle(std::move(aRequest));
                                           },
                                         .mMaximumBodyBytes = kLargestHeartbeatBytes }));
-  BOOST_LEAF_AUTO(metrics, MetricsEndpoint(mSettings));
-  BOOST_LEAF_ASSIGN(
-    mMetricsServer,
-    net::http_server::Create(
-      context, { .mEndpoint = metrics, .mHandler = [this](net::http_request aRequest) {
-                  return mDaemon.Router().Handle(std::move(aRequest));
-                } }));
+  BOOST_LEAF_CHECK(ServeMetrics());
   mDaemon.StateDump().Register("side", [this] { return mAgent->Dump(); });
-  mDaemon.OnReload([this] {
-    auto loaded = base::Capture([] { return platform::LoadDeploymentSettings(); });
-    if (!base::Succeeded(loaded)) {
-      base::Log("process")->error("reload-refused reason=\"{}\"", base::Error(loaded).mMessage);
-      return;
-    }
-    mSettings = std::get<0>(std::move(loaded));
-    base::Log("process")->info("reload");
-  });
-  asio::co_spawn(
-    context,
-    [this, links] {
-      return dispatch::Announce(mStore, dispatch::kSidePrefix + mSettings.mNode,
-                                net::ToString(links));
-    },
-    asio::detached);
-  base::Log("process")->info("start role=side node={} domain={}", mSettings.mNode,
-                             mSettings.mFailureDomain);
+  Announce(dispatch::kSidePrefix, links);
+  LogStart("side");
   return {};
 }
 
--- a/source/dispatch/announcement.cpp
+++ b/source/dispatch/announcement.cpp
@@ -2,14 +2,10 @@
 
 #include "base/logging.h"
 #include "dispatch/replica.h"
+#include "net/sleep.h"
 
 #include <random>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace rattanpond::dispatch {
 
 namespace asio = boost::asio;
@@ -43,9 +39,7 @@
                                  result.mVersion);
       co_return;
     }
-    asio::steady_timer timer{ co_await asio::this_coro::executor, milliseconds{ delay(random) } };
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await net::Sleep(milliseconds{ delay(random) });
   }
 }
 
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -2,17 +2,13 @@
 
 #include "base/logging.h"
 #include "dispatch/retry_advice.h"
+#include "net/sleep.h"
 #include "platform/job_wire.h"
 #include "platform/operator_rows.h"
 
 #include <algorithm>
 #include <charconv>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace rattanpond::dispatch {
 
 namespace asio = boost::asio;
@@ -56,13 +52,6 @@
   return aNow + std::max(milliseconds{ value } - kAnswerReserve, milliseconds{ 100 });
 }
 
-awaitable<void> Pause(milliseconds aTime)
-{
-  asio::steady_timer timer{ co_await asio::this_coro::executor, aTime };
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 /// Takes effect only if the job is not known, and if the configuration that admitted it is in
 /// force.
 platform::row_transaction AcceptTransaction(std::string const& aId, job_description const& aJob,
@@ -303,7 +292,7 @@
       co_return Refusal(503, "the store is away");
     }
     if (result.mOutcome != commit_outcome::conflict) {
-      co_await Pause(kRetryPause);
+      co_await net::Sleep(kRetryPause);
     }
   }
 }
@@ -335,7 +324,7 @@
                                 (base::Now() - started).count());
       co_return Refusal(504, "the outcome is not known");
     }
-    co_await Pause(kRetryPause);
+    co_await net::Sleep(kRetryPause);
   }
 }
 
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -123,17 +123,6 @@
   return true;
 }
 
-bool job_record::HasActiveTasks() const
-{
-  return std::ranges::any_of(mTasks, [](auto const& aSteps) {
-    return std::ranges::any_of(aSteps, [](auto const& aTasks) {
-      return std::ranges::any_of(aTasks, [](tracked_task const& aTask) {
-        return aTask.mState.mStatus == task_status::active;
-      });
-    });
-  });
-}
-
 bool job_record::HasBegun() const
 {
   return std::ranges::any_of(mTasks, [](auto const& aSteps) {
@@ -170,6 +159,7 @@
 {
   ForEachTask([](task_position const&, tracked_task& aTask) { aTask = {}; });
   mPhase = job_phase::queued;
+  mIsSettled = false;
   StateStored(0, mPhase);
 }
 
@@ -182,6 +172,7 @@
     return false;
   }
   mPhase = stored->mPhase;
+  mIsSettled = false;
   std::vector<std::pair<tracked_task*, task_state>> named;
   for (auto const& entry : stored->mTasks) {
     auto* const task = Find({ entry.mOccurrence, entry.mStep, entry.mIndex });
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -67,10 +67,13 @@
   /// True if all steps that a step waits for are done.
   bool IsStepReady(std::uint32_t aOccurrence, std::uint32_t aStep) const;
   bool IsWholeDone() const;
-  bool HasActiveTasks() const;
   /// True if any task has ever been ordered to start.
   bool HasBegun() const;
 
+  /// A settled job has ended and none of its runs may live any more.
+  bool IsSettled() const { return mIsSettled; }
+  void SetSettled() { mIsSettled = true; }
+
   /// The stored form: phase and all tasks that differ from a task that never ran.
   std::string EncodeState() const;
   /// Takes over a stored state; tasks that are not in it become waiting. Returns false and changes
@@ -100,6 +103,7 @@
   job_phase mPhase = job_phase::queued;
   job_phase mStoredPhase = job_phase::queued;
   std::uint64_t mStateVersion = 0;
+  bool mIsSettled = false;
   /// By occurrence, then step.
   std::vector<std::vector<std::vector<tracked_task>>> mTasks;
 };
--- a/source/dispatch/operator_configuration.h
+++ b/source/dispatch/operator_configuration.h
@@ -3,7 +3,6 @@
 #include "base/time.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,18 +42,11 @@
   std::int64_t mGuaranteedAccelerators = 0;
 };
 
-struct service
-{
-  /// Workers turn away what does not fit.
-  bool mGuardsCapacity = true;
-};
-
 /// One version of what the operators have declared.
 struct operator_configuration
 {
   std::uint64_t mVersion = 0;
   std::vector<queue> mQueues{};
-  std::map<std::string, service> mServices{};
   std::vector<workspace> mWorkspaces{};
   std::size_t mMaximumBodyBytes = 262'144;
 
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -67,7 +67,7 @@
     auto const isDisturbed = (shape.mFillsIdle && aWorker.mHasServing) ||
                              (shape.mServingTarget.count() > 0 && aWorker.mHasFilling);
     return aWorker.mTakesStarts && !isDisturbed && aWorker.mService == aGroup.mService &&
-           aWorker.mCapacity.Covers(Need(shape)) &&
+           aWorker.mCapacity.Covers(ReservedNeed(shape)) &&
            (shape.mRequiredLabel.empty() || contains(aWorker.mLabels, shape.mRequiredLabel)) &&
            (!aGroup.mAllowed || contains(*aGroup.mAllowed, aWorker.mWorker));
   }
@@ -144,7 +144,7 @@
     std::optional<std::size_t> best;
     auto const limit = LimitPerWorker(aGroup);
     for (auto const index : aMembers) {
-      if (!aFree[index].Covers(Need(*aGroup.mShape)) ||
+      if (!aFree[index].Covers(ReservedNeed(*aGroup.mShape)) ||
           Count(aGroup, index) + Value(aPlaced, index) >= limit) {
         continue;
       }
@@ -184,7 +184,7 @@
       if (!best) {
         return std::nullopt;
       }
-      aFree[*best] -= Need(*aGroup.mShape);
+      aFree[*best] -= ReservedNeed(*aGroup.mShape);
       ++placed[*best];
       chosen.push_back(*best);
     }
@@ -193,8 +193,8 @@
 
   void Start(waiting_group const& aGroup, std::size_t aTask, std::size_t aWorker)
   {
-    mFree[aWorker] -= Need(*aGroup.mShape);
-    mSoon[aWorker] -= Need(*aGroup.mShape);
+    mFree[aWorker] -= ReservedNeed(*aGroup.mShape);
+    mSoon[aWorker] -= ReservedNeed(*aGroup.mShape);
     mWorkers[aWorker].mHasServing =
       mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
     mWorkers[aWorker].mHasFilling = mWorkers[aWorker].mHasFilling || aGroup.mShape->mFillsIdle;
@@ -207,8 +207,8 @@
   void Claim(waiting_group const& aGroup, positions const& aChosen)
   {
     for (auto const worker : aChosen) {
-      mFree[worker] -= Need(*aGroup.mShape);
-      mSoon[worker] -= Need(*aGroup.mShape);
+      mFree[worker] -= ReservedNeed(*aGroup.mShape);
+      mSoon[worker] -= ReservedNeed(*aGroup.mShape);
     }
   }
 
@@ -297,7 +297,7 @@
       return std::pair{ -static_cast<std::int64_t>(mRuns[aRun].mPriority), mRuns[aRun].mLostWork };
     });
     for (auto const run : possible) {
-      if (aFree.Covers(Need(*aGroup.mShape))) {
+      if (aFree.Covers(ReservedNeed(*aGroup.mShape))) {
         break;
       }
       victims.insert(run);
@@ -306,7 +306,7 @@
         aFree += mRuns[run].mNeed;
       }
     }
-    if (!aFree.Covers(Need(*aGroup.mShape))) {
+    if (!aFree.Covers(ReservedNeed(*aGroup.mShape))) {
       return std::nullopt;
     }
     return victims;
@@ -350,7 +350,7 @@
         Return(mRuns[run], soon);
         result.mVictims.insert(run);
       }
-      soon[*best] -= Need(*aGroup.mShape);
+      soon[*best] -= ReservedNeed(*aGroup.mShape);
       ++placed[*best];
       result.mChosen.push_back(*best);
       result.mLostWork += bestLost;
@@ -378,16 +378,6 @@
     Claim(aGroup, best->mChosen);
   }
 
-  /// What a start takes from a worker: the processors of a task that fills are not counted.
-  static amounts Need(job_step const& aShape)
-  {
-    auto need = aShape.mNeed;
-    if (aShape.mFillsIdle) {
-      need.mMillicores = 0;
-    }
-    return need;
-  }
-
   std::vector<worker_offer> mWorkers;
   std::vector<preemptible_run> const& mRuns;
   std::vector<bool> mIsStopped;
@@ -401,6 +391,15 @@
 
 } // namespace
 
+amounts ReservedNeed(job_step const& aStep)
+{
+  auto need = aStep.mNeed;
+  if (aStep.mFillsIdle) {
+    need.mMillicores = 0;
+  }
+  return need;
+}
+
 double WeightInCores(amounts const& aNeed)
 {
   return static_cast<double>(aNeed.mMillicores) / kMillicoresPerCore +
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -89,6 +89,9 @@
                                    std::vector<waiting_group> aGroups,
                                    std::vector<preemptible_run> const& aRuns);
 
+/// What one task takes from its worker: the processors of a task that fills are not counted.
+amounts ReservedNeed(job_step const& aStep);
+
 /// Weight of an accelerator in processor cores, when work is compared.
 inline constexpr double kCoresPerAccelerator = 8.0;
 
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/replica.h"
 
 #include "base/logging.h"
+#include "net/sleep.h"
 #include "platform/operator_rows.h"
 
 #include <random>
@@ -8,9 +9,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rattanpond::dispatch {
 
@@ -64,6 +62,14 @@
   return deletions;
 }
 
+/// Spread, so that the fronts do not come back to a failed store together.
+base::milliseconds RetryDelay()
+{
+  static thread_local std::minstd_rand sRandom{ std::random_device{}() };
+  std::uniform_int_distribution<int> delay{ kShortestRetryMs, kLongestRetryMs };
+  return base::milliseconds{ delay(sRandom) };
+}
+
 template<class T>
 std::optional<T> DecodeValue(store_row const& aRow)
 {
@@ -91,15 +97,6 @@
     mOptions.mContext, [this] { return FollowOperatorRows(); }, asio::detached);
 }
 
-awaitable<void> replica::Pause()
-{
-  static thread_local std::minstd_rand sRandom{ std::random_device{}() };
-  std::uniform_int_distribution<int> delay{ kShortestRetryMs, kLongestRetryMs };
-  asio::steady_timer timer{ mOptions.mContext, base::milliseconds{ delay(sRandom) } };
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 awaitable<void> replica::FollowOwnRows()
 {
   while (true) {
@@ -122,7 +119,7 @@
         base::Log("replica")->warn("store-lost table={}", kTable);
         mIsStoreAnswering = false;
       }
-      co_await Pause();
+      co_await net::Sleep(RetryDelay());
       continue;
     }
     if (!mIsStoreAnswering) {
@@ -167,7 +164,7 @@
         mIsOperatorLoaded = false;
         continue;
       }
-      co_await Pause();
+      co_await net::Sleep(RetryDelay());
       continue;
     }
     if (isWhole) {
@@ -291,12 +288,6 @@
   mJobs[aId] = std::move(job);
 }
 
-void replica::Forget(std::string const& aId)
-{
-  mJobs.erase(aId);
-  mStops.erase(aId);
-}
-
 void replica::ApplyState(std::string const& aId, store_row const& aRow)
 {
   auto* const job = FindJob(aId);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -80,7 +80,6 @@
   std::map<std::string, std::unique_ptr<job_record>>& Jobs() { return mJobs; }
   job_record* FindJob(std::string const& aId);
   void Add(std::string const& aId, job_description aDescription);
-  void Forget(std::string const& aId);
 
   /// Version of the row of a cancellation; 0 if the job is not cancelled.
   std::uint64_t StopVersion(std::string const& aJob) const;
@@ -108,7 +107,6 @@
 private:
   boost::asio::awaitable<void> FollowOwnRows();
   boost::asio::awaitable<void> FollowOperatorRows();
-  boost::asio::awaitable<void> Pause();
   void ApplyWhole(platform::read_result const& aRead);
   void ApplyOperatorWhole(platform::read_result const& aRead);
   void ApplyOwn(platform::store_row const& aRow);
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -2,14 +2,12 @@
 
 #include "base/logging.h"
 #include "dispatch/lease_terms.h"
+#include "net/sleep.h"
 
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rattanpond::dispatch {
 
@@ -28,13 +26,6 @@
 /// Standbys spread their attempts to take a vacant term over this time.
 constexpr int kTakeoverSpreadMs = 250;
 
-awaitable<void> Sleep(asio::io_context& aContext, milliseconds aTime)
-{
-  asio::steady_timer timer{ aContext, aTime };
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 scheduler::scheduler(options aOptions)
@@ -63,7 +54,7 @@
   std::uniform_int_distribution<int> spread{ 0, kTakeoverSpreadMs };
   milliseconds ownSpread{ spread(random) };
   while (true) {
-    co_await Sleep(mOptions.mContext, kTickInterval);
+    co_await net::Sleep(kTickInterval);
     if (mIsHolder || mIsReleasing || !mOptions.mReplica.IsLoaded()) {
       continue;
     }
@@ -167,7 +158,7 @@
 {
   std::uint64_t count = 0;
   while (true) {
-    co_await Sleep(mOptions.mContext, kPulseInterval);
+    co_await net::Sleep(kPulseInterval);
     if (!mIsHolder) {
       continue;
     }
@@ -187,7 +178,7 @@
 awaitable<void> scheduler::Tick()
 {
   while (true) {
-    co_await Sleep(mOptions.mContext, kTickInterval);
+    co_await net::Sleep(kTickInterval);
     if (!mIsHolder) {
       continue;
     }
@@ -201,13 +192,24 @@
   }
 }
 
-void scheduler::ForEachTask(
+void scheduler::ForEachActiveTask(
   std::function<void(job_record&, task_position const&, tracked_task&)> const& aVisit)
 {
   for (auto const& entry : mOptions.mReplica.Jobs()) {
     auto& job = *entry.second;
-    job.ForEachTask(
-      [&](task_position const& aPosition, tracked_task& aTask) { aVisit(job, aPosition, aTask); });
+    if (job.IsSettled()) {
+      continue;
+    }
+    bool hasActive = false;
+    job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
+      if (aTask.mState.mStatus == task_status::active) {
+        hasActive = true;
+        aVisit(job, aPosition, aTask);
+      }
+    });
+    if (!hasActive && IsFinal(job.Phase())) {
+      job.SetSettled();
+    }
   }
 }
 
@@ -270,8 +272,8 @@
   session.mStarts.clear();
   session.mStops.clear();
   base::Log("scheduler")->info("side-lost node={}", aNode);
-  ForEachTask([&](job_record&, task_position const&, tracked_task& aTask) {
-    if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aNode &&
+  ForEachActiveTask([&](job_record&, task_position const&, tracked_task& aTask) {
+    if (aTask.mState.mWorker == aNode &&
         (aTask.mContact == run_contact::ordering || aTask.mContact == run_contact::stopping)) {
       aTask.mContact = run_contact::unsettled;
     }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -75,6 +75,14 @@
     std::string mNode;
   };
 
+  /// An active run of a worker's present incarnation; empty if there is none.
+  struct live_run
+  {
+    job_record* mJob = nullptr;
+    tracked_task* mTask = nullptr;
+    task_position mPosition{};
+  };
+
   struct batch
   {
     platform::row_transaction mTransaction;
@@ -98,6 +106,9 @@
   void HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame);
   void HandleReport(session& aSession, side_report aReport);
   void ReplaceIncarnation(session& aSession, std::int64_t aBorn);
+  live_run FindLiveRun(session const& aSession, std::string const& aTask, std::uint32_t aRun);
+  /// The members of a gang end together, and the last ones are listed a little longer.
+  bool IsPartOfDoneGang(listed_run const& aRun);
   void ApplyResults(session& aSession, std::set<std::string> const& aListed);
   void ApplyEnds(session& aSession);
   void ApplyRunning(session& aSession);
@@ -109,8 +120,8 @@
   void EndWithoutResult(job_record& aJob, task_position const& aPosition, std::string const& aWhy);
   void OrderStop(job_record& aJob, task_position const& aPosition, std::string const& aWhy);
   void StopPartialGang(job_record& aJob, task_position const& aPosition);
-  /// Visits the tasks of all jobs.
-  void ForEachTask(
+  /// Visits all runs that may live on a worker.
+  void ForEachActiveTask(
     std::function<void(job_record&, task_position const&, tracked_task&)> const& aVisit);
   void UpdatePhase(job_record& aJob);
   void ApplyCancellations();
@@ -123,11 +134,13 @@
   void Pump();
   void Plan();
   std::vector<worker_offer> Offers(base::time_point aNow);
-  std::vector<waiting_group> Groups(base::time_point aNow);
+  std::vector<waiting_group> Groups(std::set<std::string> const& aGuaranteed,
+                                    base::time_point aNow);
   base::milliseconds ExpectedRunTime(job_record const& aJob, job_step const& aStep) const;
   void AddGroups(job_record& aJob, bool aIsGuaranteed, base::time_point aNow,
                  std::vector<waiting_group>& aGroups);
-  std::vector<preemptible_run> Runs(base::time_point aNow);
+  std::vector<preemptible_run> Runs(std::set<std::string> const& aGuaranteed,
+                                    base::time_point aNow);
   std::set<std::string> GuaranteedJobs();
   queue const* QueueOf(job_record const& aJob) const;
   std::uint32_t PriorityOf(job_record const& aJob) const;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "net/sleep.h"
 #include "platform/operator_rows.h"
 
 #include <algorithm>
@@ -33,19 +34,14 @@
 {
   std::minstd_rand random{ std::random_device{}() };
   std::uniform_int_distribution<int> retry{ kShortestRetryMs, kLongestRetryMs };
-  auto const wait = [this](milliseconds aTime) -> awaitable<void> {
-    boost::system::error_code ignored;
-    mFlushTimer.expires_after(aTime);
-    co_await mFlushTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  };
   while (true) {
     if (!mMustPlan) {
       mIsPumpPosted = false;
-      co_await wait(kIdleWait);
+      boost::system::error_code ignored;
+      mFlushTimer.expires_after(kIdleWait);
+      co_await mFlushTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    asio::steady_timer grouping{ mOptions.mContext, kGrouping };
-    boost::system::error_code ignored;
-    co_await grouping.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await net::Sleep(kGrouping);
     mMustPlan = false;
     mIsPumpPosted = true;
     if (!mIsHolder) {
@@ -61,8 +57,7 @@
       while (mIsHolder && mBatch) {
         co_await CommitBatch();
         if (mIsHolder && mBatch) {
-          asio::steady_timer pause{ mOptions.mContext, milliseconds{ retry(random) } };
-          co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+          co_await net::Sleep(milliseconds{ retry(random) });
         }
       }
     }
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -104,17 +104,13 @@
     index[node] = offers.size();
     offers.push_back(std::move(offer));
   }
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const found = index.find(aTask.mState.mWorker);
-    if (aTask.mState.mStatus != task_status::active || found == index.end()) {
+    if (found == index.end()) {
       return;
     }
-    auto need = aJob.Step(aPosition).mNeed;
-    if (aJob.Step(aPosition).mFillsIdle) {
-      need.mMillicores = 0;
-    }
     auto& offer = offers[found->second];
-    offer.mFree -= need;
+    offer.mFree -= ReservedNeed(aJob.Step(aPosition));
     offer.mHasServing = offer.mHasServing || aJob.Step(aPosition).mServingTarget.count() > 0;
     offer.mHasFilling = offer.mHasFilling || aJob.Step(aPosition).mFillsIdle;
   });
@@ -146,13 +142,13 @@
   return guaranteed;
 }
 
-std::vector<waiting_group> scheduler::Groups(base::time_point aNow)
+std::vector<waiting_group> scheduler::Groups(std::set<std::string> const& aGuaranteed,
+                                             base::time_point aNow)
 {
   std::vector<waiting_group> groups;
-  auto const guaranteed = GuaranteedJobs();
   for (auto& [id, job] : mOptions.mReplica.Jobs()) {
     if (!IsFinal(job->Phase()) && mOptions.mReplica.StopVersion(id) == 0) {
-      AddGroups(*job, guaranteed.contains(id), aNow, groups);
+      AddGroups(*job, aGuaranteed.contains(id), aNow, groups);
     }
   }
   return groups;
@@ -214,13 +210,16 @@
   }
 }
 
-std::vector<preemptible_run> scheduler::Runs(base::time_point aNow)
+std::vector<preemptible_run> scheduler::Runs(std::set<std::string> const& aGuaranteed,
+                                             base::time_point aNow)
 {
   std::vector<preemptible_run> runs;
-  auto const guaranteed = GuaranteedJobs();
   for (auto const& entry : mOptions.mReplica.Jobs()) {
     auto& job = *entry.second;
-    auto const isGuaranteed = guaranteed.contains(job.Id());
+    if (job.IsSettled()) {
+      continue;
+    }
+    auto const isGuaranteed = aGuaranteed.contains(job.Id());
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::size_t> gangs;
     auto const priority = PriorityOf(job);
     job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
@@ -260,8 +259,9 @@
 void scheduler::Plan()
 {
   auto const now = base::Now();
-  auto const runs = Runs(now);
-  auto const decision = DecidePlacement(Offers(now), Groups(now), runs);
+  auto const guaranteed = GuaranteedJobs();
+  auto const runs = Runs(guaranteed, now);
+  auto const decision = DecidePlacement(Offers(now), Groups(guaranteed, now), runs);
   for (auto const stopped : decision.mStops) {
     auto& job = *mOptions.mReplica.FindJob(runs[stopped].mJob);
     for (auto const& position : runs[stopped].mTasks) {
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -95,14 +95,36 @@
   aSession.mNotedEnd = 0;
   aSession.mStoredEnd = 0;
   aSession.mHealth = {};
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
-    if (aTask.mState.mStatus == task_status::active && aTask.mState.mWorker == aSession.mNode &&
-        aTask.mState.mWorkerBorn < aBorn) {
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (aTask.mState.mWorker == aSession.mNode && aTask.mState.mWorkerBorn < aBorn) {
       EndWithoutResult(aJob, aPosition, "the worker's incarnation is gone");
     }
   });
 }
 
+scheduler::live_run scheduler::FindLiveRun(session const& aSession, std::string const& aTask,
+                                           std::uint32_t aRun)
+{
+  auto const parsed = ParseTaskName(aTask);
+  auto* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
+  auto* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
+  if (task == nullptr || task->mState.mStatus != task_status::active || task->mState.mRun != aRun ||
+      task->mState.mWorker != aSession.mNode ||
+      task->mState.mWorkerBorn != aSession.mReport.mBorn) {
+    return {};
+  }
+  return { .mJob = job, .mTask = task, .mPosition = parsed->mPosition };
+}
+
+bool scheduler::IsPartOfDoneGang(listed_run const& aRun)
+{
+  auto const parsed = ParseTaskName(aRun.mTask);
+  auto const* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
+  auto const* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
+  return task != nullptr && task->mState.mStatus == task_status::done &&
+         task->mState.mRun == aRun.mRun;
+}
+
 void scheduler::ApplyEnds(session& aSession)
 {
   auto const& report = aSession.mReport;
@@ -111,18 +133,14 @@
       continue;
     }
     aSession.mNotedEnd = end.mNumber;
-    auto const parsed = ParseTaskName(end.mTask);
-    auto* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
-    auto* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
-    if (task == nullptr || task->mState.mStatus != task_status::active ||
-        task->mState.mRun != end.mRun || task->mState.mWorker != aSession.mNode ||
-        task->mState.mWorkerBorn != report.mBorn) {
+    auto const run = FindLiveRun(aSession, end.mTask, end.mRun);
+    if (run.mTask == nullptr) {
       base::Log("scheduler")
         ->info("end-of-other-run task={} run={} end={} node={}", end.mTask, end.mRun,
                base::Name(end.mEnd), aSession.mNode);
       continue;
     }
-    NoteEnd(*job, parsed->mPosition, end);
+    NoteEnd(*run.mJob, run.mPosition, end);
   }
   // Without anything to store, the ends are as good as stored.
   if (mDirty.empty() && !mBatch) {
@@ -251,16 +269,10 @@
 {
   auto const now = base::Now();
   for (auto const& run : aSession.mReport.mRunning) {
-    auto const parsed = ParseTaskName(run.mTask);
-    auto* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
-    auto* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
-    auto const isOurs = task != nullptr && task->mState.mStatus == task_status::active &&
-                        task->mState.mRun == run.mRun && task->mState.mWorker == aSession.mNode &&
-                        task->mState.mWorkerBorn == aSession.mReport.mBorn;
-    if (!isOurs) {
-      auto const isGangPast = task != nullptr && task->mState.mStatus == task_status::done &&
-                              task->mState.mRun == run.mRun;
-      if (!isGangPast) {
+    auto const live = FindLiveRun(aSession, run.mTask, run.mRun);
+    auto* const task = live.mTask;
+    if (task == nullptr) {
+      if (!IsPartOfDoneGang(run)) {
         aSession.mStops.push_back({ run.mTask, run.mRun });
         base::Log("scheduler")
           ->info("stop task={} run={} node={} why=\"not the current run\"", run.mTask, run.mRun,
@@ -282,8 +294,8 @@
     if (!run.mCheckpoint.empty()) {
       task->mSeenCheckpoint = run.mCheckpoint;
     }
-    if (IsFinal(job->Phase())) {
-      OrderStop(*job, parsed->mPosition, "the job has ended");
+    if (IsFinal(live.mJob->Phase())) {
+      OrderStop(*live.mJob, live.mPosition, "the job has ended");
     }
   }
 }
@@ -291,11 +303,9 @@
 void scheduler::ApplyResults(session& aSession, std::set<std::string> const& aListed)
 {
   for (auto const& result : aSession.mReport.mResults) {
-    auto const parsed = ParseTaskName(result.mTask);
-    auto* const job = parsed ? mOptions.mReplica.FindJob(parsed->mJob) : nullptr;
-    auto* const task = job == nullptr ? nullptr : job->Find(parsed->mPosition);
-    if (task == nullptr || task->mState.mStatus != task_status::active ||
-        task->mState.mRun != result.mRun || task->mState.mWorker != aSession.mNode) {
+    auto const live = FindLiveRun(aSession, result.mTask, result.mRun);
+    auto* const task = live.mTask;
+    if (task == nullptr) {
       continue;
     }
     if (result.mOutcome != order_outcome::started) {
@@ -315,19 +325,19 @@
         mOptions.mMetrics.Counter("rattanpond_starts_refused").Add();
         aSession.mRefusesUntil = base::Now() + kRefusalRest;
         if (!isListed) {
-          EndWithoutResult(*job, parsed->mPosition, "the start was refused: " + result.mDetail);
+          EndWithoutResult(*live.mJob, live.mPosition, "the start was refused: " + result.mDetail);
         }
         break;
       case order_outcome::stopped:
         if (!isListed && aSession.mReport.mHasLists) {
-          EndWithoutResult(*job, parsed->mPosition, "stopped before it was there");
+          EndWithoutResult(*live.mJob, live.mPosition, "stopped before it was there");
         }
         break;
       case order_outcome::unknown:
         if (task->mContact == run_contact::stopping) {
           task->mContact = run_contact::unsettled;
         }
-        OrderStop(*job, parsed->mPosition, "the start has no answer");
+        OrderStop(*live.mJob, live.mPosition, "the start has no answer");
         break;
     }
   }
@@ -335,10 +345,9 @@
 
 void scheduler::SettleMissing(session& aSession, std::set<std::string> const& aListed)
 {
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
-    auto const isHere = aTask.mState.mStatus == task_status::active &&
-                        aTask.mState.mWorker == aSession.mNode &&
-                        aTask.mState.mWorkerBorn == aSession.mReport.mBorn;
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    auto const isHere =
+      aTask.mState.mWorker == aSession.mNode && aTask.mState.mWorkerBorn == aSession.mReport.mBorn;
     auto const shouldBeListed =
       aTask.mContact == run_contact::unsettled || aTask.mContact == run_contact::running;
     if (isHere && shouldBeListed &&
@@ -410,10 +419,7 @@
 void scheduler::ExpireLeases(base::time_point aNow)
 {
   auto const lapse = CertainLapse(mOptions.mSettings.mLongestLease);
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
-    if (aTask.mState.mStatus != task_status::active) {
-      return;
-    }
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const found = mSessions.find(aTask.mState.mWorker);
     auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
     if (session == nullptr || !session->mHasReport) {
@@ -439,10 +445,9 @@
 
 void scheduler::StopStalledRuns(base::time_point aNow)
 {
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const& step = aJob.Step(aPosition);
-    if (aTask.mState.mStatus != task_status::active || aTask.mContact != run_contact::running ||
-        step.mIsLongRunning) {
+    if (aTask.mContact != run_contact::running || step.mIsLongRunning) {
       return;
     }
     auto const found = mSessions.find(aTask.mState.mWorker);
@@ -463,10 +468,7 @@
 
 void scheduler::ExpireOrders(base::time_point aNow)
 {
-  ForEachTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
-    if (aTask.mState.mStatus != task_status::active) {
-      return;
-    }
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mContact == run_contact::ordering && aNow - aTask.mContactSince > kOrderLimit) {
       OrderStop(aJob, aPosition, "no result of the start");
     } else if (aTask.mContact == run_contact::stopping && aNow - aTask.mContactSince > kStopLimit) {
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logging.h"
 #include "dispatch/lease_terms.h"
+#include "net/sleep.h"
 
 #include <algorithm>
 
@@ -147,9 +148,7 @@
   asio::co_spawn(
     mOptions.mContext,
     [this, born]() -> awaitable<void> {
-      asio::steady_timer timer{ mOptions.mContext, kDepartureTime };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      co_await net::Sleep(kDepartureTime);
       if (mHeartbeat && mHeartbeat->mBorn == born) {
         base::Log("side")->info("worker-left worker={} born={}", mHeartbeat->mWorker, born);
         mState = worker_state::gone;
--- a/source/platform/deployment_settings.cpp
+++ b/source/platform/deployment_settings.cpp
@@ -41,17 +41,8 @@
 {
   aSettings.mLongestLease = Milliseconds(aBounds, "hold_max_ms", aSettings.mLongestLease);
   aSettings.mRevocationBound = Milliseconds(aBounds, "revoke_ms", aSettings.mRevocationBound);
-  aSettings.mGangTimeout = Milliseconds(aBounds, "gang_timeout_ms", aSettings.mGangTimeout);
-  aSettings.mStopGrace = Milliseconds(aBounds, "stop_grace_ms", aSettings.mStopGrace);
-  aSettings.mReclaimBound = Milliseconds(aBounds, "reclaim_ms", aSettings.mReclaimBound);
-  aSettings.mPaceDelay = Milliseconds(aBounds, "pace_ms", aSettings.mPaceDelay);
-  aSettings.mHarmBound = Milliseconds(aBounds, "harm_ms", aSettings.mHarmBound);
-  aSettings.mNoticeBound = Milliseconds(aBounds, "notice_ms", aSettings.mNoticeBound);
   aSettings.mTermination = Seconds(aBounds, "grace_s", aSettings.mTermination);
-  aSettings.mCheckpointInterval =
-    Seconds(aBounds, "checkpoint_interval_s", aSettings.mCheckpointInterval);
   aSettings.mStatusRetention = Seconds(aBounds, "status_s", aSettings.mStatusRetention);
-  aSettings.mRemoteSlowdown = aBounds.Number("remote_slowdown", aSettings.mRemoteSlowdown);
 }
 
 base::json ObjectOr(base::json const& aValue)
@@ -70,7 +61,6 @@
   json_reader reader{ document };
   deployment_settings settings;
   settings.mNode = reader.RequiredText("node");
-  settings.mRole = reader.Text("role");
   settings.mFailureDomain = reader.RequiredText("zone");
   settings.mAddress = reader.RequiredText("ip");
   auto const listenObject = ObjectOr(reader.Member("listen"));
--- a/source/platform/deployment_settings.h
+++ b/source/platform/deployment_settings.h
@@ -13,7 +13,6 @@
 struct deployment_settings
 {
   std::string mNode;
-  std::string mRole;
   std::string mFailureDomain;
   std::string mAddress;
   /// Callers; entries only.
@@ -31,16 +30,8 @@
 
   base::milliseconds mLongestLease{ 10'000 };
   base::milliseconds mRevocationBound{ 5'000 };
-  base::milliseconds mGangTimeout{ 3'000 };
-  base::milliseconds mStopGrace{ 400 };
-  base::milliseconds mReclaimBound{ 2'900 };
   base::milliseconds mTermination{ 6'000 };
-  base::milliseconds mCheckpointInterval{ 1'000 };
-  base::milliseconds mPaceDelay{ 100 };
-  base::milliseconds mHarmBound{ 4'000 };
-  base::milliseconds mNoticeBound{ 4'500 };
   base::milliseconds mStatusRetention{ 120'000 };
-  double mRemoteSlowdown = 3.0;
 };
 
 /// Environment variable that names the settings file.
--- a/source/platform/operator_rows.cpp
+++ b/source/platform/operator_rows.cpp
@@ -85,12 +85,6 @@
   for (auto const& entry : ArrayOrEmpty(reader.Member("routes"))) {
     configuration.mQueues.push_back(DecodeQueue(entry, failure));
   }
-  for (auto const& entry : ArrayOrEmpty(reader.Member("services"))) {
-    json_reader service{ entry };
-    configuration.mServices[service.RequiredText("name")] = { .mGuardsCapacity =
-                                                                service.Flag("rejects_overload") };
-    failure.Take(service, "service");
-  }
   for (auto const& entry : ArrayOrEmpty(reader.Member("tenants"))) {
     configuration.mWorkspaces.push_back(DecodeWorkspace(entry, failure));
   }
@@ -108,23 +102,4 @@
   return configuration;
 }
 
-base::result<upkeep_wave> ParseWave(std::string const& aText)
-{
-  constexpr std::int64_t kMillisecondsPerSecond = 1000;
-  auto const document = base::json::parse(aText, nullptr, false);
-  json_reader reader{ document };
-  upkeep_wave wave{ .mNumber = reader.RequiredInteger("wave") };
-  wave.mDuration = milliseconds{ reader.Integer("duration_s") * kMillisecondsPerSecond };
-  wave.mMaximumAtOnce = reader.Integer("cap", 1);
-  for (auto const& machine : ArrayOrEmpty(reader.Member("machines"))) {
-    if (machine.is_string()) {
-      wave.mMachines.push_back(machine.get<std::string>());
-    }
-  }
-  if (!reader.IsValid()) {
-    return base::Fail(base::result_code::invalid_declaration, reader.Failure());
-  }
-  return wave;
-}
-
 } // namespace rattanpond::platform
--- a/source/platform/tests/wire_test.cpp
+++ b/source/platform/tests/wire_test.cpp
@@ -184,7 +184,6 @@
     (void)Parsed<worker_heartbeat>([&] { return ParseHeartbeat("i-1", text); });
     (void)Parsed<dispatch::job_description>([&] { return ParseSubmission(text); });
     (void)Parsed<dispatch::operator_configuration>([&] { return ParseConfiguration(text); });
-    (void)Parsed<upkeep_wave>([&] { return ParseWave(text); });
   }
   std::string deep(50'000, '[');
   BOOST_TEST(!Parsed<dispatch::job_description>([&] { return ParseSubmission(deep); }).has_value());
