Dispatch: Stop urgent runs for a guarantee only where nothing else makes room

Now victims are compared by the number of urgent runs first, then by lost work. The test fails on the former code (it stops the urgent run) and passes now.

Also: the runs on each worker are indexed once a plan.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -24,12 +24,30 @@
       mFree.push_back(mWorkers[index].mFree);
     }
     mSoon = mFree;
+    mRunsOn.resize(mWorkers.size());
     for (std::size_t run = 0; run < mRuns.size(); ++run) {
+      positions places;
+      for (auto const& name : mRuns[run].mWorkers) {
+        if (auto const found = mIndex.find(name); found != mIndex.end()) {
+          places.push_back(found->second);
+        }
+      }
+      for (auto const worker : std::set<std::size_t>{ places.begin(), places.end() }) {
+        mRunsOn[worker].push_back(run);
+      }
+      mPlaces.push_back(std::move(places));
       if (mRuns[run].mIsStopping) {
         mIsStopped[run] = true;
-        Return(mRuns[run], mSoon);
+        Return(run, mSoon);
       }
     }
+    for (auto& runs : mRunsOn) {
+      // Least urgent first, then those that lose least.
+      std::ranges::stable_sort(runs, {}, [&](std::size_t aRun) {
+        return std::pair{ -static_cast<std::int64_t>(mRuns[aRun].mPriority),
+                          mRuns[aRun].mLostWork };
+      });
+    }
   }
 
   void Serve(waiting_group const& aGroup)
@@ -47,12 +65,11 @@
   using amounts_by_worker = std::vector<amounts>;
   using positions = std::vector<std::size_t>;
 
-  void Return(preemptible_run const& aRun, amounts_by_worker& aTo) const
+  /// What a run holds becomes free.
+  void Return(std::size_t aRun, amounts_by_worker& aTo) const
   {
-    for (auto const& name : aRun.mWorkers) {
-      if (auto const found = mIndex.find(name); found != mIndex.end()) {
-        aTo[found->second] += aRun.mNeed;
-      }
+    for (auto const worker : mPlaces[aRun]) {
+      aTo[worker] += mRuns[aRun].mNeed;
     }
   }
 
@@ -260,12 +277,25 @@
     }
   }
 
+  /// What it costs to stop runs. An urgent run that is stopped misses its objective, however little
+  /// it has done, so it goes only where nothing else makes room.
+  struct stop_cost
+  {
+    std::size_t mUrgentRuns = 0;
+    double mLostWork = 0;
+
+    bool operator<(stop_cost const& aOther) const
+    {
+      return std::tie(mUrgentRuns, mLostWork) < std::tie(aOther.mUrgentRuns, aOther.mLostWork);
+    }
+  };
+
   /// A way to make room for a group: where its tasks go and which runs stop for it.
   struct clearing
   {
     positions mChosen;
     std::set<std::size_t> mVictims;
-    double mLostWork = 0;
+    stop_cost mCost;
   };
 
   static bool MayPreempt(waiting_group const& aGroup)
@@ -285,24 +315,16 @@
                                                  std::set<std::size_t> const& aAlready) const
   {
     std::set<std::size_t> victims;
-    std::vector<std::size_t> possible;
-    for (std::size_t run = 0; run < mRuns.size(); ++run) {
-      if (!mIsStopped[run] && !aAlready.contains(run) && MayStop(aGroup, mRuns[run]) &&
-          std::ranges::find(mRuns[run].mWorkers, mWorkers[aWorker].mWorker) !=
-            mRuns[run].mWorkers.end()) {
-        possible.push_back(run);
-      }
-    }
-    std::ranges::stable_sort(possible, {}, [&](std::size_t aRun) {
-      return std::pair{ -static_cast<std::int64_t>(mRuns[aRun].mPriority), mRuns[aRun].mLostWork };
-    });
-    for (auto const run : possible) {
+    for (auto const run : mRunsOn[aWorker]) {
       if (aFree.Covers(ReservedNeed(*aGroup.mShape))) {
         break;
       }
+      if (mIsStopped[run] || aAlready.contains(run) || !MayStop(aGroup, mRuns[run])) {
+        continue;
+      }
       victims.insert(run);
-      auto const times = std::ranges::count(mRuns[run].mWorkers, mWorkers[aWorker].mWorker);
-      for (std::ptrdiff_t time = 0; time < times; ++time) {
+      auto const members = std::ranges::count(mPlaces[run], aWorker);
+      for (std::ptrdiff_t member = 0; member < members; ++member) {
         aFree += mRuns[run].mNeed;
       }
     }
@@ -312,13 +334,14 @@
     return victims;
   }
 
-  double LostWork(std::set<std::size_t> const& aVictims) const
+  stop_cost Cost(std::set<std::size_t> const& aVictims) const
   {
-    double sum = 0;
+    stop_cost cost;
     for (auto const run : aVictims) {
-      sum += mRuns[run].mLostWork;
+      cost.mUrgentRuns += mRuns[run].mPriority == 0 ? 1 : 0;
+      cost.mLostWork += mRuns[run].mLostWork;
     }
-    return sum;
+    return cost;
   }
 
   std::optional<clearing> Clear(waiting_group const& aGroup, positions const& aMembers) const
@@ -330,30 +353,34 @@
     for (std::size_t task = 0; task < aGroup.mIndexes.size(); ++task) {
       std::optional<std::size_t> best;
       std::set<std::size_t> bestVictims;
-      double bestLost = std::numeric_limits<double>::infinity();
+      stop_cost bestCost;
       for (auto const index : aMembers) {
         if (Count(aGroup, index) + Value(placed, index) >= limit) {
           continue;
         }
         auto const victims = VictimsOn(aGroup, index, soon[index], result.mVictims);
-        auto const lost = victims ? LostWork(*victims) : 0;
-        if (victims && lost < bestLost) {
+        if (!victims) {
+          continue;
+        }
+        auto const cost = Cost(*victims);
+        if (!best || cost < bestCost) {
           best = index;
           bestVictims = *victims;
-          bestLost = lost;
+          bestCost = cost;
         }
       }
       if (!best) {
         return std::nullopt;
       }
       for (auto const run : bestVictims) {
-        Return(mRuns[run], soon);
+        Return(run, soon);
         result.mVictims.insert(run);
       }
       soon[*best] -= ReservedNeed(*aGroup.mShape);
       ++placed[*best];
       result.mChosen.push_back(*best);
-      result.mLostWork += bestLost;
+      result.mCost.mUrgentRuns += bestCost.mUrgentRuns;
+      result.mCost.mLostWork += bestCost.mLostWork;
     }
     return result;
   }
@@ -363,16 +390,16 @@
     std::optional<clearing> best;
     for (auto const& members : aDomains) {
       auto cleared = Clear(aGroup, members);
-      if (cleared && (!best || cleared->mLostWork < best->mLostWork)) {
+      if (cleared && (!best || cleared->mCost < best->mCost)) {
         best = std::move(cleared);
       }
     }
-    if (!best || (!aGroup.mIsGuaranteed && best->mLostWork > aGroup.mPreemptionBudget)) {
+    if (!best || (!aGroup.mIsGuaranteed && best->mCost.mLostWork > aGroup.mPreemptionBudget)) {
       return;
     }
     for (auto const run : best->mVictims) {
       mIsStopped[run] = true;
-      Return(mRuns[run], mSoon);
+      Return(run, mSoon);
       mDecision.mStops.push_back(run);
     }
     Claim(aGroup, best->mChosen);
@@ -381,6 +408,10 @@
   std::vector<worker_offer> mWorkers;
   std::vector<preemptible_run> const& mRuns;
   std::vector<bool> mIsStopped;
+  /// Workers of the members of each run.
+  std::vector<positions> mPlaces;
+  /// Runs on each worker, in the order in which they are stopped.
+  std::vector<positions> mRunsOn;
   std::map<std::string, std::size_t> mIndex;
   /// Free now, less what is promised in this round.
   amounts_by_worker mFree;
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -120,6 +120,23 @@
 
 // Guards against a chain of preemptions: room that is being cleared is not cleared twice, and is
 // not given to others.
+// Seen with several urgent jobs beside bulk work: an owner stopped an urgent task that had run for
+// 0.1 s, and that job missed its objective, though a bulk task could have made room.
+BOOST_AUTO_TEST_CASE(guarantee_stops_urgent_runs_only_where_nothing_else_makes_room)
+{
+  auto const step = Step(1, 8, true);
+  auto owner = Group("owner", step, 0);
+  owner.mIsGuaranteed = true;
+  std::vector<worker_offer> const workers{ Offer("w1", "r1", Less(8)), Offer("w2", "r1", Less(8)) };
+  std::vector<preemptible_run> const both{ Run("urgent", { "w1" }, 8, 5.0, 0),
+                                           Run("bulk", { "w2" }, 8, 300.0, 2) };
+  auto const decision = DecidePlacement(workers, { owner }, both);
+  BOOST_REQUIRE(decision.mStops.size() == 1U);
+  BOOST_TEST(decision.mStops.front() == 1U);
+  std::vector<preemptible_run> const urgentOnly{ Run("urgent", { "w1" }, 8, 5.0, 0) };
+  BOOST_TEST(DecidePlacement({ workers.front() }, { owner }, urgentOnly).mStops.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(cleared_room_is_kept_for_its_owner)
 {
   auto const large = Step(1, 8, true);
