Net, Dispatch: Space redialed links and repeated stops

A scheduler that the store had turned away dialed all sides again and again, each closing the link at once for its older term (7,000 links), since every opened link set the delay back. And a stop to a worker that refuses connections comes back without an answer within a millisecond and was sent again at once (7,500 stops).

Change: the delay between two dials is set back only by a link that has lasted; a stop without an answer is repeated after its limit of 1.5 s. A counter of stops was added.

Ruled out: a lost report; the side had answered each stop. Kept: the volume of logs and calls is bounded.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -263,6 +263,7 @@
     ->info("stop task={} run={} node={} why=\"{}\"", name, task.mState.mRun, task.mState.mWorker,
            aWhy);
   found->second->mStops.push_back({ name, task.mState.mRun });
+  mOptions.mMetrics.Counter("rattanpond_stops").Add();
   Pump();
 }
 
@@ -335,9 +336,8 @@
         }
         break;
       case order_outcome::unknown:
-        if (task->mContact == run_contact::stopping) {
-          task->mContact = run_contact::unsettled;
-        }
+        // A stop without an answer is sent again after its limit: a worker that cannot be reached
+        // answers each one within milliseconds.
         OrderStop(*live.mJob, live.mPosition, "the start has no answer");
         break;
     }
--- a/source/net/link_dialer.cpp
+++ b/source/net/link_dialer.cpp
@@ -63,7 +63,7 @@
 private:
   void Open(tcp::socket aSocket)
   {
-    mDelay = mOptions.mShortestDelay;
+    mOpenedAt = base::Now();
     link_handlers handlers{
       .mOnFrame = mOptions.mHandlers.mOnFrame,
       .mOnClose =
@@ -72,6 +72,10 @@
           if (self->mIsStopped) {
             return;
           }
+          // A peer that closes each link at once must not be dialed at full speed.
+          if (base::Now() - self->mOpenedAt >= self->mOptions.mLongestDelay) {
+            self->mDelay = self->mOptions.mShortestDelay;
+          }
           if (self->mOptions.mHandlers.mOnClose) {
             self->mOptions.mHandlers.mOnClose(aLink, aReason);
           }
@@ -103,6 +107,7 @@
   base::milliseconds mDelay;
   std::mt19937 mRandom;
   link_ptr mLink;
+  base::time_point mOpenedAt{};
   bool mIsStopped = false;
 };
 
--- a/source/net/link_dialer.h
+++ b/source/net/link_dialer.h
@@ -9,7 +9,8 @@
 
 namespace rattanpond::net {
 
-/// Keeps a link to one endpoint: connects, and connects again after each loss with a growing delay.
+/// Keeps a link to one endpoint: connects, and connects again after each loss, with a delay that
+/// grows until a link has lasted.
 /// No handler is called once the dialer is destroyed.
 class link_dialer
 {
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -89,10 +89,11 @@
           .mHandler = [this](net::http_request aRequest) { return Handle(std::move(aRequest)); } });
     });
     mServer = std::move(std::get<0>(created));
+    mEndpoint = mServer->Endpoint();
     Tick();
   }
 
-  net::tcp::endpoint Endpoint() const { return mServer->Endpoint(); }
+  net::tcp::endpoint Endpoint() const { return mEndpoint; }
   std::string const& Id() const { return mId; }
 
   std::string Heartbeat(std::string const& aDomain, std::string const& aRack,
@@ -111,6 +112,9 @@
     }.dump();
   }
 
+  /// From now on nobody can connect; what runs goes on.
+  void StopListening() { mServer.reset(); }
+
   /// Ends all runs at once; the worker comes back with nothing of before.
   void Crash()
   {
@@ -328,6 +332,7 @@
   boost::asio::steady_timer mTimer;
   net::http_router mRouter;
   std::unique_ptr<net::http_server> mServer;
+  net::tcp::endpoint mEndpoint;
   std::map<std::string, run> mRuns;
   std::vector<end> mEnds;
   std::map<std::string, std::uint32_t> mHighest;
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -315,6 +315,24 @@
   RequireNoFaults(cluster);
 }
 
+// A worker that refuses connections answers each stop within a millisecond; one scheduler sent
+// 7,000 stops in a few seconds and logged as many lines.
+BOOST_AUTO_TEST_CASE(stops_to_a_worker_that_is_gone_are_spaced)
+{
+  test_cluster cluster{ 1, 1 };
+  auto& worker = cluster.mSides[0]->mWorker;
+  worker.mWork = milliseconds{ 20'000 };
+  auto const path = "/u/" + JobId(17);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 1; }));
+  worker.StopListening();
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "DELETE", path) == 200U);
+  cluster.For(milliseconds{ 4000 });
+  auto const stops = cluster.Holder()->mMetrics.Counter("rattanpond_stops").Value();
+  BOOST_TEST(stops >= 2U);
+  BOOST_TEST(stops <= 6U);
+}
+
 // Guards against work that is lost or doubled when the scheduler ends, and against a takeover that
 // takes longer than stated.
 BOOST_AUTO_TEST_CASE(a_standby_adopts_running_work)
