Dispatch: Start advised queues with tickets

Queues with advice started without a ticket, and their workers refused every start. permit_book decides, without input or output, what the advice service is asked and which starts carry which ticket; scheduler_permits asks, and placement sees only workers with a ticket.

Jobs that fail are now among those whose rows are removed after their time; the failed phase had not reached the list of ended jobs.

Tests: permit_book_test, and flow_test/an_advised_queue_starts_only_where_it_may (one refused question, then one that names all workers, no refused start).

--- a/source/dispatch/job.cpp
+++ b/source/dispatch/job.cpp
@@ -10,6 +10,11 @@
          std::to_string(aPosition.mStep) + '.' + std::to_string(aPosition.mIndex);
 }
 
+std::string StepName(std::string const& aJob, task_position const& aPosition)
+{
+  return aJob + '.' + std::to_string(aPosition.mOccurrence) + '.' + std::to_string(aPosition.mStep);
+}
+
 std::optional<parsed_task> ParseTaskName(std::string const& aName)
 {
   parsed_task parsed;
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -174,6 +174,9 @@
 /// Task name "<job>.<occurrence>.<step>.<index>".
 std::string TaskName(std::string const& aJob, task_position const& aPosition);
 
+/// Step name "<job>.<occurrence>.<step>".
+std::string StepName(std::string const& aJob, task_position const& aPosition);
+
 struct parsed_task
 {
   std::string mJob{};
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -10,6 +10,11 @@
 
 constexpr double kMillicoresPerCore = 1000.0;
 
+bool Contains(std::vector<std::string> const& aList, std::string const& aText)
+{
+  return std::ranges::find(aList, aText) != aList.end();
+}
+
 /// Places the groups one after the other on what is left of the workers.
 class placement_round
 {
@@ -73,20 +78,15 @@
     }
   }
 
-  bool MayRunOn(waiting_group const& aGroup, worker_offer const& aWorker) const
+  static bool MayRunOn(waiting_group const& aGroup, worker_offer const& aWorker)
   {
     auto const& shape = *aGroup.mShape;
-    auto const contains = [](std::vector<std::string> const& aList, std::string const& aText) {
-      return std::ranges::find(aList, aText) != aList.end();
-    };
     // Tasks that fill idle processors disturb those that serve users, by amounts that nobody knows
     // beforehand, so the two are kept apart.
     auto const isDisturbed = (shape.mFillsIdle && aWorker.mHasServing) ||
                              (shape.mServingTarget.count() > 0 && aWorker.mHasFilling);
-    return aWorker.mTakesStarts && !isDisturbed && aWorker.mService == aGroup.mService &&
-           aWorker.mCapacity.Covers(ReservedNeed(shape)) &&
-           (shape.mRequiredLabel.empty() || contains(aWorker.mLabels, shape.mRequiredLabel)) &&
-           (!aGroup.mAllowed || contains(*aGroup.mAllowed, aWorker.mWorker));
+    return !isDisturbed && MeetsRequirements(aGroup, aWorker) &&
+           (!aGroup.mAllowed || Contains(*aGroup.mAllowed, aWorker.mWorker));
   }
 
   /// Workers that may run the group: those of the data's rack if there are any, and without those
@@ -422,6 +422,14 @@
 
 } // namespace
 
+bool MeetsRequirements(waiting_group const& aGroup, worker_offer const& aWorker)
+{
+  auto const& shape = *aGroup.mShape;
+  return aWorker.mTakesStarts && aWorker.mService == aGroup.mService &&
+         aWorker.mCapacity.Covers(ReservedNeed(shape)) &&
+         (shape.mRequiredLabel.empty() || Contains(aWorker.mLabels, shape.mRequiredLabel));
+}
+
 amounts ReservedNeed(job_step const& aStep)
 {
   auto need = aStep.mNeed;
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -89,6 +89,9 @@
                                    std::vector<waiting_group> aGroups,
                                    std::vector<preemptible_run> const& aRuns);
 
+/// Whether a worker takes starts and has what a step asks for, however much of it is free.
+bool MeetsRequirements(waiting_group const& aGroup, worker_offer const& aWorker);
+
 /// What one task takes from its worker: the processors of a task that fills are not counted.
 amounts ReservedNeed(job_step const& aStep);
 
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -32,6 +32,10 @@
   : mOptions{ std::move(aOptions) }
   , mFlushTimer{ mOptions.mContext }
 {
+  if (mOptions.mSettings.mAdvice) {
+    mAdvice =
+      std::make_unique<platform::advice_client>(mOptions.mContext, *mOptions.mSettings.mAdvice);
+  }
 }
 
 scheduler::~scheduler() = default;
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -3,11 +3,13 @@
 #include "base/metrics.h"
 #include "dispatch/failure_history.h"
 #include "dispatch/messages.h"
+#include "dispatch/permit_book.h"
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
 #include "dispatch/run_time_forecast.h"
 #include "dispatch/worker_health.h"
 #include "net/link_dialer.h"
+#include "platform/advice_client.h"
 #include "platform/deployment_settings.h"
 
 #include <map>
@@ -124,6 +126,7 @@
   void ForEachActiveTask(
     std::function<void(job_record&, task_position const&, tracked_task&)> const& aVisit);
   void UpdatePhase(job_record& aJob);
+  void JobEnded(std::string const& aId);
   void ApplyCancellations();
   void ExpireLeases(base::time_point aNow);
   void ExpireOrders(base::time_point aNow);
@@ -139,6 +142,12 @@
   base::milliseconds ExpectedRunTime(job_record const& aJob, job_step const& aStep) const;
   void AddGroups(job_record& aJob, bool aIsGuaranteed, base::time_point aNow,
                  std::vector<waiting_group>& aGroups);
+  static permit_book::worker_life LifeOf(session const& aSession);
+  std::vector<std::string> PermittedWorkers(std::string const& aStep, base::time_point aNow) const;
+  /// Asks the advice service about groups that the decision has left waiting.
+  void SeekPermits(std::vector<worker_offer> aOffers, std::vector<waiting_group> const& aGroups,
+                   placement_decision const& aDecision, base::time_point aNow);
+  boost::asio::awaitable<void> Ask(permit_book::question aQuestion);
   std::vector<preemptible_run> Runs(std::set<std::string> const& aGuaranteed,
                                     base::time_point aNow);
   std::set<std::string> GuaranteedJobs();
@@ -161,6 +170,9 @@
   std::vector<planned_start> mPlanned;
   std::optional<batch> mBatch;
   failure_history mFailures;
+  /// Empty where the settings name no advice service.
+  std::unique_ptr<platform::advice_client> mAdvice;
+  permit_book mPermits;
   run_time_forecast mRunTimes;
   /// Whether the stored forecast lacks observations, and when it was last written.
   bool mHasNewRunTimes = false;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -249,13 +249,23 @@
     return;
   }
   auto const now = base::Now();
+  auto const* const queue = QueueOf(*job);
+  std::optional<std::string> ticket;
+  if (mAdvice && queue != nullptr && queue->mAdvice) {
+    ticket = mPermits.Ticket(StepName(job->Id(), aStart.mPosition), LifeOf(*session), now);
+    if (!ticket) {
+      EndWithoutResult(*job, aStart.mPosition, "the permit of the worker has lapsed");
+      return;
+    }
+  }
   task->mContact = run_contact::ordering;
   task->mContactSince = now;
   task->mStartedAt = now;
   session->mStarts.push_back({ .mTask = name,
                                .mRun = aStart.mRun,
                                .mCommand = job->Description().mCommand,
-                               .mCheckpoint = task->mState.mCheckpoint });
+                               .mCheckpoint = task->mState.mCheckpoint,
+                               .mTicket = ticket.value_or(std::string{}) });
   mOptions.mMetrics.Counter("rattanpond_starts").Add();
   base::Log("scheduler")
     ->info("start task={} run={} node={} born={} term={} waited_ms={}", name, aStart.mRun,
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -188,6 +188,9 @@
       auto const expected = ExpectedRunTime(aJob, shape);
       group.mDueBy = DueBy(aJob, queue, occurrence, expected, aNow, wallMs);
       group.mIsLate = aNow + expected > group.mDueBy;
+      if (mAdvice && queue != nullptr && queue->mAdvice) {
+        group.mAllowed = PermittedWorkers(StepName(aJob.Id(), { occurrence, step, 0 }), aNow);
+      }
       bool isAnyActive = false;
       auto const& tasks = aJob.Tasks(occurrence, step);
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -265,7 +268,12 @@
   auto const now = base::Now();
   auto const guaranteed = GuaranteedJobs();
   auto const runs = Runs(guaranteed, now);
-  auto const decision = DecidePlacement(Offers(now), Groups(guaranteed, now), runs);
+  auto const offers = Offers(now);
+  auto const groups = Groups(guaranteed, now);
+  auto const decision = DecidePlacement(offers, groups, runs);
+  if (mAdvice) {
+    SeekPermits(offers, groups, decision, now);
+  }
   for (auto const stopped : decision.mStops) {
     auto& job = *mOptions.mReplica.FindJob(runs[stopped].mJob);
     for (auto const& position : runs[stopped].mTasks) {
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -209,6 +209,7 @@
     ->info("job-failed job={} task={} failures={}", aJob.Id(), TaskName(aJob.Id(), aPosition),
            task.mState.mFailures);
   aJob.SetPhase(job_phase::failed);
+  JobEnded(aJob.Id());
   aJob.ForEachTask([&](task_position const& aOther, tracked_task& aTask) {
     if (aTask.mState.mStatus == task_status::active) {
       OrderStop(aJob, aOther, "the job has failed");
@@ -326,6 +327,7 @@
       case order_outcome::no_room:
         mOptions.mMetrics.Counter("rattanpond_starts_refused").Add();
         aSession.mRefusesUntil = base::Now() + kRefusalRest;
+        mPermits.Refused(StepName(live.mJob->Id(), live.mPosition), aSession.mNode);
         if (!isListed) {
           EndWithoutResult(*live.mJob, live.mPosition, "the start was refused: " + result.mDetail);
         }
@@ -392,11 +394,17 @@
     }
   }
   if (IsFinal(aJob.Phase())) {
-    mFailures.Forget(aJob.Id());
-    mEndedJobs.emplace(aJob.Id(), base::Now());
+    JobEnded(aJob.Id());
   }
 }
 
+void scheduler::JobEnded(std::string const& aId)
+{
+  mFailures.Forget(aId);
+  mPermits.Forget(aId);
+  mEndedJobs.emplace(aId, base::Now());
+}
+
 void scheduler::ApplyCancellations()
 {
   for (auto const& entry : mOptions.mReplica.Jobs()) {
@@ -408,7 +416,7 @@
     base::Log("scheduler")->info("job-cancelled job={}", id);
     job.SetPhase(job_phase::cancelled);
     mDirty.insert(id);
-    mEndedJobs.emplace(id, base::Now());
+    JobEnded(id);
     job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
       if (aTask.mState.mStatus == task_status::active) {
         OrderStop(job, aPosition, "the job was cancelled");
--- a/source/platform/deployment_settings.h
+++ b/source/platform/deployment_settings.h
@@ -12,18 +12,18 @@
 /// What a process learns from the settings file that the platform lays for it.
 struct deployment_settings
 {
-  std::string mNode;
-  std::string mFailureDomain;
-  std::string mAddress;
+  std::string mNode{};
+  std::string mFailureDomain{};
+  std::string mAddress{};
   /// Callers; entries only.
-  std::optional<net::tcp::endpoint> mCallers;
-  std::optional<net::tcp::endpoint> mReadiness;
+  std::optional<net::tcp::endpoint> mCallers{};
+  std::optional<net::tcp::endpoint> mReadiness{};
   /// Heartbeats of the worker on this instance; sides only.
-  std::optional<net::tcp::endpoint> mHeartbeats;
+  std::optional<net::tcp::endpoint> mHeartbeats{};
   /// The worker on this instance; sides only.
-  std::optional<net::tcp::endpoint> mWorker;
-  std::optional<net::tcp::endpoint> mAdvice;
-  net::tcp::endpoint mStore;
+  std::optional<net::tcp::endpoint> mWorker{};
+  std::optional<net::tcp::endpoint> mAdvice{};
+  net::tcp::endpoint mStore{};
   /// First of the ports that are free for links between our processes.
   std::uint16_t mInternalPort = 7000;
   std::size_t mMaximumBodyBytes = 262'144;
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -73,6 +73,8 @@
     /// Stopped runs go on for this long.
     base::milliseconds mStopGrace{ 0 };
     bool mIsMute = false;
+    /// Starts carry this ticket or are refused.
+    std::string mTicket{};
   };
 
   fake_worker(boost::asio::io_context& aContext, run_journal& aJournal, std::string aId)
@@ -136,6 +138,7 @@
   base::milliseconds mWork{ 300 };
   std::size_t mLapses = 0;
   std::size_t mStarted = 0;
+  std::size_t mTicketRefusals = 0;
 
 private:
   struct run
@@ -268,6 +271,10 @@
       return net::JsonResponse(409, Answer("late"));
     }
     mDeadline = std::max(mDeadline, deadline);
+    if (aBody.value("ticket", std::string{}) != mFaults.mTicket) {
+      ++mTicketRefusals;
+      return net::JsonResponse(409, Answer("ticket"));
+    }
     auto const task = aBody.at("task").get<std::string>();
     auto const number = aBody.at("run").get<std::uint32_t>();
     if (auto const live = mRuns.find(task); live != mRuns.end()) {
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/scheduler.h"
 #include "dispatch/side_agent.h"
 #include "platform/operator_rows.h"
+#include "platform/tests/fake_advice.h"
 #include "platform/tests/fake_row_store.h"
 #include "platform/tests/fake_worker.h"
 
@@ -30,6 +31,13 @@
           { "service", "service" },
           { "priority", 0 },
           { "max_attempts", 3 } },
+        { { "name", "advised" },
+          { "host", "h" },
+          { "prefix", "/a/" },
+          { "service", "service" },
+          { "priority", 1 },
+          { "max_attempts", 3 },
+          { "advice", { { "decide_ms", 20 }, { "period_ms", 5 }, { "valid_ms", 6000 } } } },
         { { "name", "bulk" },
           { "host", "h" },
           { "prefix", "/b/" },
@@ -70,8 +78,9 @@
 /// An entry with a context of its own, so that a test can freeze or end it alone.
 struct test_front
 {
-  test_front(fake_row_store& aStore, std::string aName)
+  test_front(fake_row_store& aStore, std::string aName, net::tcp::endpoint const& aAdvice)
     : mDoor{ aStore.Open() }
+    , mSettings{ .mNode = aName, .mAdvice = aAdvice }
     , mStore{ mContext, mDoor.mServer->Endpoint() }
     , mReplica{ { .mContext = mContext,
                   .mStore = mStore,
@@ -89,7 +98,6 @@
                   .mSettings = mSettings,
                   .mMetrics = mMetrics } }
   {
-    mSettings.mNode = aName;
     auto created = base::Capture([&] {
       return net::http_server::Create(mContext,
                                       { .mEndpoint = { asio::ip::address_v4::loopback(), 0 },
@@ -164,7 +172,8 @@
                                                    "zone-" + std::to_string(index % 2)));
     }
     for (int index = 0; index < aFronts; ++index) {
-      mFronts.push_back(std::make_unique<test_front>(mStore, "front-" + std::to_string(index)));
+      mFronts.push_back(
+        std::make_unique<test_front>(mStore, "front-" + std::to_string(index), mAdvice.Endpoint()));
     }
     BOOST_REQUIRE(Until([this] { return Holder() != nullptr; }));
   }
@@ -268,6 +277,7 @@
 
   asio::io_context mOutside{ 1 };
   fake_row_store mStore{ mOutside };
+  fake_advice mAdvice{ mOutside };
   run_journal mJournal;
   std::vector<std::unique_ptr<test_side>> mSides;
   std::vector<std::unique_ptr<test_front>> mFronts;
@@ -315,6 +325,30 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against starts without the ticket that the queue's policy asks for, and against a job that
+// waits for ever when the service turns a question away.
+BOOST_AUTO_TEST_CASE(an_advised_queue_starts_only_where_it_may)
+{
+  test_cluster cluster{ 2, 3 };
+  cluster.mAdvice.mGood = { "i-side-2" };
+  cluster.mAdvice.mRefusals = 1;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mFaults.mTicket = "ticket-" + side->mWorker.Id();
+  }
+  auto const path = "/a/" + JobId(18);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(3, 4)) == 200U);
+  BOOST_TEST(cluster.Ends(path, "done"));
+  BOOST_TEST(cluster.mSides[0]->mWorker.mStarted == 0U);
+  BOOST_TEST(cluster.mSides[1]->mWorker.mStarted == 0U);
+  BOOST_TEST(cluster.mSides[2]->mWorker.mStarted == 3U);
+  for (auto const& side : cluster.mSides) {
+    BOOST_TEST(side->mWorker.mTicketRefusals == 0U);
+  }
+  // One refused question, and one that names all three workers.
+  BOOST_TEST(cluster.mAdvice.mQuestions == 2U);
+  RequireNoFaults(cluster);
+}
+
 // A worker that refuses connections answers each stop within a millisecond; one scheduler sent
 // 7,000 stops in a few seconds and logged as many lines.
 BOOST_AUTO_TEST_CASE(stops_to_a_worker_that_is_gone_are_spaced)
