Dispatch: Store the checkpoints that workers list

Change: each stored state carries the checkpoints listed for active runs, and a job is stored for their sake once 250 core-seconds of its work would be lost, at most every 2 s. Run times are now learned only from runs that this scheduler started from the beginning; the former sign, an empty checkpoint, no longer tells that, and adopted runs were counted from their adoption.

Ruled out: waiting gangs, double ends. Test: flow_test/listed_checkpoints_outlive_the_scheduler_and_ the_worker fails without the change and passes now; flow_test, wire_test and dispatch_tests pass.

--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -133,6 +133,15 @@
   });
 }
 
+void job_record::TakeSeenCheckpoints()
+{
+  ForEachTask([](task_position const&, tracked_task& aTask) {
+    if (aTask.mState.mStatus == task_status::active && !aTask.mSeenCheckpoint.empty()) {
+      aTask.mState.mCheckpoint = aTask.mSeenCheckpoint;
+    }
+  });
+}
+
 std::string job_record::EncodeState() const
 {
   stored_state stored{ .mPhase = mPhase };
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -36,6 +36,8 @@
   base::milliseconds mProgressInterval{ 0 };
   /// Checkpoint that the worker lists for the current run.
   std::string mSeenCheckpoint;
+  /// This process started the run from the beginning, so its end tells how long the task takes.
+  bool mIsTimed = false;
   /// Runs that were stopped for standing still.
   std::uint32_t mStalls = 0;
   /// Worker of the last failed run; the next attempt goes elsewhere if it can.
@@ -96,7 +98,11 @@
   /// Version of the stored state; 0 if there is none.
   std::uint64_t StateVersion() const { return mStateVersion; }
 
+  /// The next stored state carries the checkpoints that workers list for active runs.
+  void TakeSeenCheckpoints();
+
   base::time_point mSeenAt{};
+  base::time_point mCheckpointsTakenAt{};
   base::time_point mEndedAt{};
 
 private:
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -126,6 +126,7 @@
     job->ForEachTask([&](task_position const&, tracked_task& aTask) {
       aTask.mContact = run_contact::unsettled;
       aTask.mContactSince = mHolderSince;
+      aTask.mIsTimed = false;
     });
     if (IsFinal(job->Phase())) {
       mEndedJobs[id] = mHolderSince;
@@ -194,6 +195,7 @@
     CloseSilentLinks(now);
     ExpireOrders(now);
     StopStalledRuns(now);
+    StoreCheckpoints(now);
     ExpireLeases(now);
     ForgetEndedJobs(now);
     Pump();
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -131,6 +131,7 @@
   void ExpireLeases(base::time_point aNow);
   void ExpireOrders(base::time_point aNow);
   void StopStalledRuns(base::time_point aNow);
+  void StoreCheckpoints(base::time_point aNow);
   void CloseSilentLinks(base::time_point aNow);
   void ForgetEndedJobs(base::time_point aNow);
 
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -86,6 +86,8 @@
     }
     conditions.push_back({ kTable, kStatePrefix + id, job->StateVersion() });
     conditions.push_back({ kTable, kStopPrefix + id, mOptions.mReplica.StopVersion(id) });
+    job->TakeSeenCheckpoints();
+    job->mCheckpointsTakenAt = base::Now();
     built.mTransaction.mChanges.push_back({ kTable, kStatePrefix + id, job->EncodeState() });
     built.mJobs.emplace_back(id, job->Phase());
   }
@@ -261,6 +263,7 @@
   task->mContact = run_contact::ordering;
   task->mContactSince = now;
   task->mStartedAt = now;
+  task->mIsTimed = task->mState.mCheckpoint.empty();
   session->mStarts.push_back({ .mTask = name,
                                .mRun = aStart.mRun,
                                .mCommand = job->Description().mCommand,
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -27,6 +27,10 @@
 constexpr std::uint64_t kNoReport = 0;
 /// After a refused start, its worker is left alone for about the time in which a stop frees room.
 constexpr milliseconds kRefusalRest{ 400 };
+/// Checkpoints of a job are stored once this much of its work, in core-seconds, would be lost with
+/// the scheduler and the workers: a worker of eight accelerators does it in 2 to 3 s.
+constexpr double kUnsavedWork = 250.0;
+constexpr milliseconds kCheckpointsInterval{ 2000 };
 
 std::string RunKey(std::string const& aTask, std::uint32_t aRun)
 {
@@ -164,7 +168,7 @@
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
-    if (task.mStartedAt != base::time_point{} && task.mState.mCheckpoint.empty()) {
+    if (task.mIsTimed) {
       mRunTimes.Observe(aJob.Description().mQueue, step.mEstimate, now - task.mStartedAt);
       mHasNewRunTimes = true;
     }
@@ -482,6 +486,24 @@
   });
 }
 
+void scheduler::StoreCheckpoints(base::time_point aNow)
+{
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  std::map<job_record*, double> unsaved;
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (!aTask.mSeenCheckpoint.empty() && aTask.mSeenCheckpoint != aTask.mState.mCheckpoint) {
+      auto const since = std::max(aTask.mStartedAt, aJob.mCheckpointsTakenAt);
+      unsaved[&aJob] += WeightInCores(aJob.Step(aPosition).mNeed) *
+                        static_cast<double>((aNow - since).count()) / kMillisecondsPerSecond;
+    }
+  });
+  for (auto const& [job, work] : unsaved) {
+    if (work >= kUnsavedWork && aNow - job->mCheckpointsTakenAt >= kCheckpointsInterval) {
+      mDirty.insert(job->Id());
+    }
+  }
+}
+
 void scheduler::ExpireOrders(base::time_point aNow)
 {
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -77,6 +77,11 @@
     std::string mTicket{};
   };
 
+  /// Listed for all runs.
+  std::string mCheckpoint{};
+  /// What the last start carried.
+  std::string mResumedFrom{};
+
   fake_worker(boost::asio::io_context& aContext, run_journal& aJournal, std::string aId)
     : mContext{ aContext }
     , mJournal{ aJournal }
@@ -285,6 +290,7 @@
       return net::JsonResponse(409, Answer("old"));
     }
     mRuns[task] = { number, base::Now() + mWork };
+    mResumedFrom = aBody.value("last_checkpoint", std::string{});
     mJournal.Started(task);
     ++mStarted;
     return net::JsonResponse(200, Answer());
@@ -325,7 +331,7 @@
     body["running"] = base::json::array();
     body["finished"] = base::json::array();
     for (auto const& [task, run] : mRuns) {
-      body["running"].push_back({ task, run.mRun, "", 50 });
+      body["running"].push_back({ task, run.mRun, mCheckpoint, 50 });
     }
     for (auto const& end : mEnds) {
       body["finished"].push_back({ end.mNumber, end.mTask, end.mRun, end.mHow, "" });
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -349,6 +349,29 @@
   RequireNoFaults(cluster);
 }
 
+// Found in an incident (tkp-permits, inc-57ae): all machines lost power, and work of 12 s on whole
+// workers began again from nothing, though the workers had listed checkpoints all the while.
+BOOST_AUTO_TEST_CASE(listed_checkpoints_outlive_the_scheduler_and_the_worker)
+{
+  test_cluster cluster{ 2, 1 };
+  auto& worker = cluster.mSides[0]->mWorker;
+  worker.mWork = milliseconds{ 60'000 };
+  worker.mCheckpoint = "half-way";
+  base::json const step{ { "count", 1 }, { "cpu", 60'000 },         { "mem_mb", 1000 },
+                         { "gpu", 8 },   { "estimate_ms", 60'000 }, { "checkpointable", true } };
+  auto const body = base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/u/" + JobId(19), body) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 1; }));
+  BOOST_TEST(worker.mResumedFrom.empty());
+  cluster.For(milliseconds{ 4500 });
+  auto const started = worker.mStarted;
+  cluster.Holder()->mIsFrozen = true;
+  worker.Crash();
+  BOOST_REQUIRE(cluster.Until([&] { return worker.mStarted > started; }));
+  BOOST_TEST(worker.mResumedFrom == "half-way");
+  RequireNoFaults(cluster);
+}
+
 // A worker that refuses connections answers each stop within a millisecond; one scheduler sent
 // 7,000 stops in a few seconds and logged as many lines.
 BOOST_AUTO_TEST_CASE(stops_to_a_worker_that_is_gone_are_spaced)
