Net, Platform: Build JSON requests in one place

platform::JsonRequest stood in the client of the former platform; row_store, worker_client, advice_client and two commands built the same request by hand. It is net::JsonRequest now, beside JsonResponse, and all call it. row_store reads the version of an answer or entry in one function (three copies before) and has one unnamed namespace.

Bodies are the same for text that is UTF-8; bytes that are not are now replaced everywhere, as JsonResponse does, where row_store, advice_client and the commands would have thrown.

--- a/source/command_line/configuration_commands.cpp
+++ b/source/command_line/configuration_commands.cpp
@@ -14,11 +14,7 @@
 
 net::http_request Post(std::string aTarget, json const& aBody)
 {
-  net::http_request request{
-    .mMethod = "POST", .mTarget = std::move(aTarget), .mHeaders = {}, .mBody = aBody.dump()
-  };
-  request.mHeaders.Add("Content-Type", "application/json");
-  return request;
+  return net::JsonRequest("POST", std::move(aTarget), aBody);
 }
 
 /// Parses a successful answer; other answers are printed and give the exit code.
--- a/source/command_line/work_commands.cpp
+++ b/source/command_line/work_commands.cpp
@@ -41,11 +41,7 @@
   if (!base::Succeeded(loaded)) {
     return aContext.ReportError(base::Error(loaded));
   }
-  net::http_request request{ .mMethod = "POST",
-                             .mTarget = "/v1/jobs",
-                             .mHeaders = {},
-                             .mBody = base::Encode(std::get<0>(loaded)).dump() };
-  request.mHeaders.Add("Content-Type", "application/json");
+  auto request = net::JsonRequest("POST", "/v1/jobs", base::Encode(std::get<0>(loaded)));
   request.mHeaders.Add("Idempotency-Key", Key(aContext));
   return aContext.Report(aContext.Call(std::move(request), repeatable::yes), &PrintJob);
 }
--- a/source/net/http_message.cpp
+++ b/source/net/http_message.cpp
@@ -72,12 +72,35 @@
   return 500;
 }
 
+namespace {
+
+constexpr char const* kJson = "application/json";
+
+/// Text from outside may hold bytes that are not UTF-8; they are replaced rather than thrown at.
+std::string Text(base::json const& aDocument)
+{
+  return aDocument.dump(-1, ' ', false, base::json::error_handler_t::replace);
+}
+
+} // namespace
+
+http_request JsonRequest(std::string aMethod, std::string aTarget, base::json const& aBody)
+{
+  http_request request{
+    .mMethod = std::move(aMethod), .mTarget = std::move(aTarget), .mHeaders = {}, .mBody = {}
+  };
+  if (!aBody.is_null()) {
+    request.mHeaders.Add("Content-Type", kJson);
+    request.mBody = Text(aBody);
+  }
+  return request;
+}
+
 http_response JsonResponse(unsigned aStatus, base::json const& aBody)
 {
   http_response response{ .mStatus = aStatus, .mHeaders = {}, .mBody = {} };
-  response.mHeaders.Add("Content-Type", "application/json");
-  // Text from outside may hold bytes that are not UTF-8; they are replaced rather than thrown at.
-  response.mBody = aBody.dump(-1, ' ', false, base::json::error_handler_t::replace) + "\n";
+  response.mHeaders.Add("Content-Type", kJson);
+  response.mBody = Text(aBody) + "\n";
   return response;
 }
 
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -72,6 +72,9 @@
   answer_transfer mTransfer = answer_transfer::whole;
 };
 
+/// A request with a JSON body, or with an empty one for null.
+http_request JsonRequest(std::string aMethod, std::string aTarget, base::json const& aBody = {});
+
 http_response JsonResponse(unsigned aStatus, base::json const& aBody);
 
 /// HTTP status of a result code; the table is part of docs/errors.md.
--- a/source/platform/advice_client.cpp
+++ b/source/platform/advice_client.cpp
@@ -14,10 +14,7 @@
 
 net::http_request Question(std::string const& aStep, std::vector<std::string> const& aWorkers)
 {
-  net::http_request request{ .mMethod = "POST", .mTarget = "/api/advise" };
-  request.mHeaders.Add("Content-Type", "application/json");
-  request.mBody = base::json{ { "step", aStep }, { "workers", aWorkers } }.dump();
-  return request;
+  return net::JsonRequest("POST", "/api/advise", { { "step", aStep }, { "workers", aWorkers } });
 }
 
 } // namespace
--- a/source/platform/http_object_store.cpp
+++ b/source/platform/http_object_store.cpp
@@ -29,7 +29,7 @@
 
 asio::awaitable<reply<done>> http_object_store::Put(std::string aKey, std::string aContent)
 {
-  auto request = JsonRequest("PUT", Path(aKey));
+  auto request = net::JsonRequest("PUT", Path(aKey));
   request.mBody = std::move(aContent);
   auto const answer = co_await mClient.Call(std::move(request), kFailures);
   if (!base::Succeeded(answer)) {
@@ -40,7 +40,7 @@
 
 asio::awaitable<reply<std::string>> http_object_store::Get(std::string aKey)
 {
-  auto answer = co_await mClient.Call(JsonRequest("GET", Path(aKey)), kFailures);
+  auto answer = co_await mClient.Call(net::JsonRequest("GET", Path(aKey)), kFailures);
   if (!base::Succeeded(answer)) {
     co_return base::Error(answer);
   }
--- a/source/platform/http_table.cpp
+++ b/source/platform/http_table.cpp
@@ -31,8 +31,8 @@
 
 asio::awaitable<reply<std::optional<table_row>>> http_table::Read(std::string aKey)
 {
-  auto const answer =
-    co_await mClient.Call(JsonRequest("GET", "/v1/rows/" + PercentEncode(aKey)), kReadFailures);
+  auto const answer = co_await mClient.Call(
+    net::JsonRequest("GET", "/v1/rows/" + PercentEncode(aKey)), kReadFailures);
   if (!base::Succeeded(answer) && base::Error(answer).mCode == result_code::not_found) {
     co_return std::optional<table_row>{};
   }
@@ -49,7 +49,7 @@
 {
   auto const target = "/v1/rows?prefix=" + PercentEncode(aPrefix) +
                       "&after=" + PercentEncode(aAfter) + "&limit=" + std::to_string(aLimit);
-  auto const answer = co_await mClient.Call(JsonRequest("GET", target), kReadFailures);
+  auto const answer = co_await mClient.Call(net::JsonRequest("GET", target), kReadFailures);
   auto page = DecodeAnswer<rows_answer>(answer);
   if (!base::Succeeded(page)) {
     co_return base::Error(page);
@@ -66,7 +66,7 @@
     }
   }
   auto const answer = co_await mClient.Call(
-    JsonRequest("POST", "/v1/transactions", base::Encode(aTransaction)), kCommitFailures);
+    net::JsonRequest("POST", "/v1/transactions", base::Encode(aTransaction)), kCommitFailures);
   if (!base::Succeeded(answer)) {
     co_return base::Error(answer);
   }
--- a/source/platform/http_task_runner.cpp
+++ b/source/platform/http_task_runner.cpp
@@ -49,7 +49,7 @@
 {
   auto const body = Body({ .mFence = aFence, .mLease = {}, .mPercent = {} });
   auto const answer =
-    co_await mClient.Call(JsonRequest("POST", Path(aTask, "checkpoint"), body), kFailures);
+    co_await mClient.Call(net::JsonRequest("POST", Path(aTask, "checkpoint"), body), kFailures);
   auto decoded = DecodeAnswer<checkpoint_answer>(answer);
   if (!base::Succeeded(decoded)) {
     co_return base::Error(decoded);
@@ -71,7 +71,7 @@
 
 asio::awaitable<reply<std::vector<runner_task>>> http_task_runner::List()
 {
-  auto const answer = co_await mClient.Call(JsonRequest("GET", "/v1/tasks"), kFailures);
+  auto const answer = co_await mClient.Call(net::JsonRequest("GET", "/v1/tasks"), kFailures);
   auto decoded = DecodeAnswer<tasks_answer>(answer);
   if (!base::Succeeded(decoded)) {
     co_return base::Error(decoded);
@@ -82,7 +82,7 @@
 asio::awaitable<reply<done>> http_task_runner::Post(std::string aTarget, base::json aBody)
 {
   auto const answer =
-    co_await mClient.Call(JsonRequest("POST", std::move(aTarget), aBody), kFailures);
+    co_await mClient.Call(net::JsonRequest("POST", std::move(aTarget), aBody), kFailures);
   if (!base::Succeeded(answer)) {
     co_return base::Error(answer);
   }
--- a/source/platform/platform_client.cpp
+++ b/source/platform/platform_client.cpp
@@ -93,16 +93,4 @@
   co_return last;
 }
 
-http_request JsonRequest(std::string aMethod, std::string aTarget, base::json const& aBody)
-{
-  http_request request{
-    .mMethod = std::move(aMethod), .mTarget = std::move(aTarget), .mHeaders = {}, .mBody = {}
-  };
-  if (!aBody.is_null()) {
-    request.mHeaders.Add("Content-Type", "application/json");
-    request.mBody = aBody.dump(-1, ' ', false, base::json::error_handler_t::replace);
-  }
-  return request;
-}
-
 } // namespace rattanpond::platform
--- a/source/platform/platform_client.h
+++ b/source/platform/platform_client.h
@@ -58,10 +58,6 @@
   std::size_t mPreferred = 0;
 };
 
-/// A request with a JSON body, or with an empty one for null.
-net::http_request JsonRequest(std::string aMethod, std::string aTarget,
-                              base::json const& aBody = {});
-
 /// Decodes the body of a successful answer.
 template<class T>
 base::reply<T> DecodeAnswer(base::reply<net::http_response> const& aAnswer)
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -32,6 +32,18 @@
   return decoded;
 }
 
+/// The version that an answer or an entry names.
+std::optional<std::uint64_t> DecodeVersion(base::json const& aDocument)
+{
+  if (!aDocument.is_object()) {
+    return std::nullopt;
+  }
+  auto const version = aDocument.find("ver");
+  return version != aDocument.end() && version->is_number_integer()
+           ? std::optional{ version->get<std::uint64_t>() }
+           : std::nullopt;
+}
+
 /// Returns nothing for an entry that is not a row: other writers may store anything.
 std::optional<store_row> DecodeRow(base::json const& aEntry)
 {
@@ -48,10 +60,7 @@
     return std::nullopt;
   }
   store_row row{ .mTable = table->get<std::string>(), .mKey = key->get<std::string>() };
-  auto const version = aEntry.find("ver");
-  if (version != aEntry.end() && version->is_number_integer()) {
-    row.mVersion = version->get<std::uint64_t>();
-  }
+  row.mVersion = DecodeVersion(aEntry).value_or(0);
   auto const deleted = aEntry.find("deleted");
   row.mIsDeleted = deleted != aEntry.end() && *deleted == true;
   auto const value = aEntry.find("value");
@@ -81,26 +90,6 @@
   return { { "table", aTable }, { "part", "" }, { "key", aKey } };
 }
 
-net::http_request JsonCall(std::string aTarget, base::json const& aBody)
-{
-  net::http_request request{ .mMethod = "POST", .mTarget = std::move(aTarget) };
-  request.mHeaders.Add("Content-Type", "application/json");
-  request.mBody = aBody.dump();
-  return request;
-}
-
-} // namespace
-
-row_store::row_store(boost::asio::io_context& aContext, net::tcp::endpoint aEndpoint)
-  : mClient{ aContext,
-             { .mEndpoint = aEndpoint,
-               .mMaximumConnections = kMaximumConnections,
-               .mConnectTimeout = kConnectTimeout } }
-{
-}
-
-namespace {
-
 base::json EncodeTransaction(row_transaction const& aTransaction)
 {
   base::json conditions = base::json::array();
@@ -125,10 +114,18 @@
 
 } // namespace
 
+row_store::row_store(boost::asio::io_context& aContext, net::tcp::endpoint aEndpoint)
+  : mClient{ aContext,
+             { .mEndpoint = aEndpoint,
+               .mMaximumConnections = kMaximumConnections,
+               .mConnectTimeout = kConnectTimeout } }
+{
+}
+
 awaitable<commit_result> row_store::Commit(row_transaction aTransaction,
                                            base::milliseconds aTimeout)
 {
-  auto request = JsonCall("/api/rows-tx", EncodeTransaction(aTransaction));
+  auto request = net::JsonRequest("POST", "/api/rows-tx", EncodeTransaction(aTransaction));
   auto const answer = co_await mClient.Send(std::move(request), aTimeout);
   if (!base::Succeeded(answer)) {
     auto const code = base::Error(answer).mCode;
@@ -141,9 +138,7 @@
   commit_result result;
   if (response.mStatus == 200) {
     result.mOutcome = commit_outcome::committed;
-    if (document.is_object() && document.contains("ver") && document["ver"].is_number_integer()) {
-      result.mVersion = document["ver"].get<std::uint64_t>();
-    }
+    result.mVersion = DecodeVersion(document).value_or(0);
   } else if (response.mStatus == 412) {
     result.mOutcome = commit_outcome::conflict;
     if (document.is_object()) {
@@ -171,12 +166,12 @@
     co_return result;
   }
   auto const document = base::json::parse(response.mBody, nullptr, false);
-  if (response.mStatus != 200 || !document.is_object() || !document.contains("ver") ||
-      !document["ver"].is_number_integer()) {
+  auto const version = DecodeVersion(document);
+  if (response.mStatus != 200 || !version) {
     co_return result;
   }
   result.mOutcome = read_outcome::answered;
-  result.mVersion = document["ver"].get<std::uint64_t>();
+  result.mVersion = *version;
   result.mRows = DecodeRows(document);
   aHasMore = document.contains("has_more") && document["has_more"] == true;
   co_return result;
--- a/source/platform/worker_client.cpp
+++ b/source/platform/worker_client.cpp
@@ -18,10 +18,8 @@
 
 net::http_request Call(std::string aTarget, std::string const& aWorker, base::json const& aBody)
 {
-  net::http_request request{ .mMethod = "POST", .mTarget = std::move(aTarget) };
-  request.mHeaders.Add("Content-Type", "application/json");
+  auto request = net::JsonRequest("POST", std::move(aTarget), aBody);
   request.mHeaders.Add("X-Expect-Instance", aWorker);
-  request.mBody = aBody.dump(-1, ' ', false, base::json::error_handler_t::replace);
   return request;
 }
 
--- a/source/standin/tests/standin_test.cpp
+++ b/source/standin/tests/standin_test.cpp
@@ -17,7 +17,7 @@
 using base::milliseconds;
 using net::http_request;
 using net::http_response;
-using platform::JsonRequest;
+using net::JsonRequest;
 
 settings TestSettings()
 {
