Dispatch: Follow both tables of the store in one loop

The loops for our own rows and for the operators' rows differed in the state that they kept and in what a silent store means. The state is followed_table now, and only our own rows tell whether the store answers. No change of behaviour.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -86,99 +86,73 @@
 
 replica::replica(options aOptions)
   : mOptions{ std::move(aOptions) }
+  , mOwn{ .mName = kTable, .mWait = kOwnRowsWait }
+  , mOperators{ .mName = platform::kOperatorTable, .mWait = kOperatorRowsWait }
 {
 }
 
 void replica::Start()
 {
   asio::co_spawn(
-    mOptions.mContext, [this] { return FollowOwnRows(); }, asio::detached);
+    mOptions.mContext, [this] { return Follow(mOwn); }, asio::detached);
   asio::co_spawn(
-    mOptions.mContext, [this] { return FollowOperatorRows(); }, asio::detached);
+    mOptions.mContext, [this] { return Follow(mOperators); }, asio::detached);
 }
 
-awaitable<void> replica::FollowOwnRows()
+void replica::OwnRowsLost()
 {
-  while (true) {
-    auto const isWhole = !mIsLoaded;
-    auto const askedAt = base::Now();
-    platform::read_result read;
-    if (isWhole) {
-      read = co_await mOptions.mStore.ReadTable(kTable, kReadTimeout);
-    } else {
-      read = co_await mOptions.mStore.Follow(kTable, mVersion, kOwnRowsWait);
-    }
-    if (read.mOutcome != read_outcome::answered) {
-      if (read.mOutcome == read_outcome::history_lost) {
-        base::Log("replica")->info("history-lost table={} version={}", kTable, mVersion);
-        mIsLoaded = false;
-        continue;
-      }
-      mLease.StoreFailed();
-      if (mIsStoreAnswering) {
-        base::Log("replica")->warn("store-lost table={}", kTable);
-        mIsStoreAnswering = false;
-      }
-      co_await net::Sleep(RetryDelay());
-      continue;
-    }
-    if (!mIsStoreAnswering) {
-      base::Log("replica")->info("store-regained table={} version={}", kTable, read.mVersion);
-      mIsStoreAnswering = true;
-    }
-    mLease.StoreAnswered(base::Now());
-    mJobsConfirmedAt = askedAt;
-    if (isWhole) {
-      if (read.mVersion >= mVersion) {
-        ApplyWhole(read);
-        mIsLoaded = true;
-      }
-    } else {
-      for (auto const& row : read.mRows) {
-        ApplyOwn(row);
-      }
-    }
-    mVersion = std::max(mVersion, read.mVersion);
-    if (!read.mRows.empty() || isWhole) {
-      mOptions.mOnChange();
-    }
+  mLease.StoreFailed();
+  if (mIsStoreAnswering) {
+    base::Log("replica")->warn("store-lost table={}", kTable);
+    mIsStoreAnswering = false;
   }
 }
 
-awaitable<void> replica::FollowOperatorRows()
+void replica::OwnRowsAnswered(std::uint64_t aVersion)
 {
+  if (!mIsStoreAnswering) {
+    base::Log("replica")->info("store-regained table={} version={}", kTable, aVersion);
+    mIsStoreAnswering = true;
+  }
+  mLease.StoreAnswered(base::Now());
+}
+
+awaitable<void> replica::Follow(followed_table& aTable)
+{
+  // Our own rows tell whether the store answers, as the pulse of the holder is among them.
+  auto const isOwn = &aTable == &mOwn;
   while (true) {
-    auto const isWhole = !mIsOperatorLoaded;
+    auto const isWhole = !aTable.mIsLoaded;
     auto const askedAt = base::Now();
     platform::read_result read;
     if (isWhole) {
-      read = co_await mOptions.mStore.ReadTable(platform::kOperatorTable, kReadTimeout);
+      read = co_await mOptions.mStore.ReadTable(aTable.mName, kReadTimeout);
     } else {
-      read = co_await mOptions.mStore.Follow(platform::kOperatorTable, mOperatorVersion,
-                                             kOperatorRowsWait);
+      read = co_await mOptions.mStore.Follow(aTable.mName, aTable.mVersion, aTable.mWait);
+    }
+    if (read.mOutcome == read_outcome::history_lost) {
+      base::Log("replica")->info("history-lost table={} version={}", aTable.mName, aTable.mVersion);
+      aTable.mIsLoaded = false;
+      continue;
     }
     if (read.mOutcome != read_outcome::answered) {
-      if (read.mOutcome == read_outcome::history_lost) {
-        base::Log("replica")->info("history-lost table={} version={}", platform::kOperatorTable,
-                                   mOperatorVersion);
-        mIsOperatorLoaded = false;
-        continue;
+      if (isOwn) {
+        OwnRowsLost();
       }
       co_await net::Sleep(RetryDelay());
       continue;
     }
-    if (isWhole) {
-      if (read.mVersion >= mOperatorVersion) {
-        ApplyOperatorWhole(read);
-        mIsOperatorLoaded = true;
-      }
-    } else {
-      for (auto const& row : read.mRows) {
-        ApplyOperator(row);
-      }
+    if (isOwn) {
+      OwnRowsAnswered(read.mVersion);
     }
-    mOperatorConfirmedAt = askedAt;
-    mOperatorVersion = std::max(mOperatorVersion, read.mVersion);
+    aTable.mConfirmedAt = askedAt;
+    if (!isWhole) {
+      Apply(read.mRows);
+    } else if (read.mVersion >= aTable.mVersion) {
+      ApplyWhole(aTable, read);
+      aTable.mIsLoaded = true;
+    }
+    aTable.mVersion = std::max(aTable.mVersion, read.mVersion);
     if (!read.mRows.empty() || isWhole) {
       mOptions.mOnChange();
     }
@@ -196,32 +170,25 @@
   }
 }
 
-void replica::ApplyWhole(platform::read_result const& aRead)
+void replica::ApplyWhole(followed_table const& aTable, platform::read_result const& aRead)
 {
-  for (auto const& row : Deletions(kTable, mVersions, aRead)) {
-    ApplyOwn(row);
-  }
-  for (auto const& row : aRead.mRows) {
-    ApplyOwn(row);
+  Apply(Deletions(aTable.mName, mVersions, aRead));
+  Apply(aRead.mRows);
+  if (&aTable == &mOwn && !mOptions.mIsWriter()) {
+    ResetMissingStates(aRead);
   }
+}
+
+void replica::ResetMissingStates(platform::read_result const& aRead)
+{
   auto const present = Keys(aRead);
   for (auto& [id, job] : mJobs) {
-    if (!present.contains(kStatePrefix + id) && !mOptions.mIsWriter()) {
+    if (!present.contains(kStatePrefix + id)) {
       job->ResetState();
     }
   }
 }
 
-void replica::ApplyOperatorWhole(platform::read_result const& aRead)
-{
-  for (auto const& row : Deletions(platform::kOperatorTable, mVersions, aRead)) {
-    ApplyOperator(row);
-  }
-  for (auto const& row : aRead.mRows) {
-    ApplyOperator(row);
-  }
-}
-
 void replica::ApplyOwn(store_row const& aRow)
 {
   auto& known = mVersions[{ aRow.mTable, aRow.mKey }];
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -74,7 +74,7 @@
 
   void Start();
   /// Reads everything again, after this process has stopped being the writer.
-  void Reload() { mIsLoaded = false; }
+  void Reload() { mOwn.mIsLoaded = false; }
   /// Takes rows from the answer of a conflict.
   void Apply(std::vector<platform::store_row> const& aRows);
 
@@ -101,17 +101,33 @@
   std::map<std::string, std::uint64_t> const& Evacuations() const { return mEvacuations; }
 
   /// When the last answer was asked for that confirmed the operators' rows.
-  base::time_point OperatorRowsConfirmedAt() const { return mOperatorConfirmedAt; }
-  base::time_point JobsConfirmedAt() const { return mJobsConfirmedAt; }
+  base::time_point OperatorRowsConfirmedAt() const { return mOperators.mConfirmedAt; }
+  base::time_point JobsConfirmedAt() const { return mOwn.mConfirmedAt; }
   /// False from a failed answer of the store to the next good one.
   bool IsStoreAnswering() const { return mIsStoreAnswering; }
-  bool IsLoaded() const { return mIsLoaded && mIsOperatorLoaded && mConfiguration != nullptr; }
+  bool IsLoaded() const
+  {
+    return mOwn.mIsLoaded && mOperators.mIsLoaded && mConfiguration != nullptr;
+  }
 
 private:
-  boost::asio::awaitable<void> FollowOwnRows();
-  boost::asio::awaitable<void> FollowOperatorRows();
-  void ApplyWhole(platform::read_result const& aRead);
-  void ApplyOperatorWhole(platform::read_result const& aRead);
+  /// How far a table is known.
+  struct followed_table
+  {
+    std::string mName;
+    /// Longest wait of one poll.
+    base::milliseconds mWait;
+    bool mIsLoaded = false;
+    std::uint64_t mVersion = 0;
+    /// When the last answer was asked for.
+    base::time_point mConfirmedAt{};
+  };
+
+  boost::asio::awaitable<void> Follow(followed_table& aTable);
+  void ApplyWhole(followed_table const& aTable, platform::read_result const& aRead);
+  void ResetMissingStates(platform::read_result const& aRead);
+  void OwnRowsLost();
+  void OwnRowsAnswered(std::uint64_t aVersion);
   void ApplyOwn(platform::store_row const& aRow);
   void ApplyOperator(platform::store_row const& aRow);
   void ApplyJob(std::string const& aId, platform::store_row const& aRow);
@@ -124,10 +140,8 @@
 
   options mOptions;
   bool mIsStoreAnswering = true;
-  bool mIsLoaded = false;
-  bool mIsOperatorLoaded = false;
-  std::uint64_t mVersion = 0;
-  std::uint64_t mOperatorVersion = 0;
+  followed_table mOwn;
+  followed_table mOperators;
   /// Version of each known row by table and key, so that older news are passed over.
   std::map<std::pair<std::string, std::string>, std::uint64_t> mVersions;
 
@@ -144,8 +158,6 @@
   std::shared_ptr<operator_configuration const> mConfiguration;
   std::uint64_t mConfigurationRowVersion = 0;
   std::map<std::string, std::uint64_t> mEvacuations;
-  base::time_point mOperatorConfirmedAt{};
-  base::time_point mJobsConfirmedAt{};
 };
 
 } // namespace rattanpond::dispatch
