--- a/source/net/tests/link_dialer_test.cpp
+++ b/source/net/tests/link_dialer_test.cpp
@@ -55,6 +55,16 @@
            .mLongestDelay = base::milliseconds{ 400 } };
 }
 
+/// Links that a peer sees in aTime when it closes each one after aLife.
+std::size_t LinksWithin(base::milliseconds aTime, base::milliseconds aLife)
+{
+  asio::io_context context;
+  closing_peer const peer{ context, aLife };
+  link_dialer const dialer{ context, To(peer.Endpoint()) };
+  context.run_for(aTime);
+  return peer.Accepted();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(link_dialer_test)
@@ -63,21 +73,14 @@
 // seconds: each side closes such a link at once.
 BOOST_AUTO_TEST_CASE(a_peer_that_closes_at_once_is_dialed_ever_more_slowly)
 {
-  asio::io_context context;
-  closing_peer peer{ context, base::milliseconds{ 0 } };
-  link_dialer const dialer{ context, To(peer.Endpoint()) };
-  context.run_for(base::milliseconds{ 1500 });
-  BOOST_TEST(peer.Accepted() >= 4U);
-  BOOST_TEST(peer.Accepted() <= 14U);
+  auto const links = LinksWithin(base::milliseconds{ 1500 }, base::milliseconds{ 0 });
+  BOOST_TEST(links >= 4U);
+  BOOST_TEST(links <= 14U);
 }
 
 BOOST_AUTO_TEST_CASE(a_link_that_has_lasted_is_dialed_again_soon)
 {
-  asio::io_context context;
-  closing_peer peer{ context, base::milliseconds{ 450 } };
-  link_dialer const dialer{ context, To(peer.Endpoint()) };
-  context.run_for(base::milliseconds{ 1700 });
-  BOOST_TEST(peer.Accepted() >= 3U);
+  BOOST_TEST(LinksWithin(base::milliseconds{ 1700 }, base::milliseconds{ 450 }) >= 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/source/platform/tests/test_cluster.h
@@ -0,0 +1,255 @@
+#pragma once
+
+#include "dispatch/caller_api.h"
+#include "dispatch/scheduler.h"
+#include "platform/operator_rows.h"
+#include "platform/tests/fake_advice.h"
+#include "platform/tests/test_side.h"
+
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace rattanpond::platform {
+
+inline constexpr char const* kKey = "key-1";
+
+inline std::string Configuration(std::uint64_t aVersion, std::string const& aKey = kKey)
+{
+  return base::json{
+    { "version", aVersion },
+    { "routes",
+      { { { "name", "urgent" },
+          { "host", "h" },
+          { "prefix", "/u/" },
+          { "service", "service" },
+          { "priority", 0 },
+          { "max_attempts", 3 } },
+        { { "name", "advised" },
+          { "host", "h" },
+          { "prefix", "/a/" },
+          { "service", "service" },
+          { "priority", 1 },
+          { "max_attempts", 3 },
+          { "advice", { { "decide_ms", 20 }, { "period_ms", 5 }, { "valid_ms", 6000 } } } },
+        { { "name", "bulk" },
+          { "host", "h" },
+          { "prefix", "/b/" },
+          { "service", "service" },
+          { "priority", 2 },
+          { "max_attempts", 3 } } } },
+    { "services", { { { "name", "service" }, { "rejects_overload", true } } } },
+    { "tenants", { { { "name", "t" }, { "keys", { aKey } }, { "guaranteed", { { "gpu", 8 } } } } } }
+  }.dump();
+}
+
+inline std::string JobBody(int aCount, int aAccelerators, bool aIsGang = false)
+{
+  return base::json{
+    { "spec", "x" },
+    { "steps",
+      { { { "count", aCount },
+          { "cpu", 1000 },
+          { "mem_mb", 1000 },
+          { "gpu", aAccelerators },
+          { "gang", aIsGang } } } }
+  }.dump();
+}
+
+inline std::string JobId(int aNumber)
+{
+  auto text = std::to_string(aNumber);
+  return std::string(16 - text.size(), '0') + text;
+}
+
+/// Whether a front may pass a call on.
+enum class via
+{
+  any,
+  here
+};
+
+/// An entry with a context of its own, so that a test can freeze or end it alone.
+struct test_front
+{
+  test_front(fake_row_store& aStore, std::string aName, net::tcp::endpoint const& aAdvice)
+    : mDoor{ aStore.Open() }
+    , mSettings{ .mNode = aName, .mAdvice = aAdvice }
+    , mStore{ mContext, mDoor.mServer->Endpoint() }
+    , mReplica{ { .mContext = mContext,
+                  .mStore = mStore,
+                  .mOnChange = [this] { mScheduler.ReplicaChanged(); },
+                  .mIsWriter = [this] { return mScheduler.IsHolder(); } } }
+    , mScheduler{ { .mContext = mContext,
+                    .mStore = mStore,
+                    .mReplica = mReplica,
+                    .mSettings = mSettings,
+                    .mMetrics = mMetrics,
+                    .mIncarnation = aName } }
+    , mCallers{ { .mContext = mContext,
+                  .mStore = mStore,
+                  .mReplica = mReplica,
+                  .mSettings = mSettings,
+                  .mMetrics = mMetrics } }
+  {
+    auto created = base::Capture([&] {
+      return net::http_server::Create(mContext,
+                                      { .mEndpoint = { boost::asio::ip::address_v4::loopback(), 0 },
+                                        .mHandler = [this](net::http_request aRequest) {
+                                          return mCallers.HandleHere(std::move(aRequest));
+                                        } });
+    });
+    BOOST_REQUIRE(base::Succeeded(created));
+    mForwarded = std::move(std::get<0>(created));
+    aStore.Put(dispatch::kTable, dispatch::kFrontPrefix + aName,
+               base::json{ { "address", net::ToString(mForwarded->Endpoint()) } }.dump());
+    mReplica.Start();
+    mScheduler.Start();
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  fake_row_store::door& mDoor;
+  deployment_settings mSettings;
+  base::metrics_registry mMetrics;
+  row_store mStore;
+  dispatch::replica mReplica;
+  dispatch::scheduler mScheduler;
+  dispatch::caller_api mCallers;
+  std::unique_ptr<net::http_server> mForwarded;
+  bool mIsFrozen = false;
+};
+
+/// The whole path against a store and workers in memory.
+struct test_cluster
+{
+  explicit test_cluster(int aFronts = 2, int aSides = 3)
+  {
+    mStore.Put(kOperatorTable, kConfigurationKey, Configuration(1));
+    for (int index = 0; index < aSides; ++index) {
+      mSides.push_back(std::make_unique<test_side>(mStore, mOutside, mJournal,
+                                                   "side-" + std::to_string(index),
+                                                   "zone-" + std::to_string(index % 2)));
+    }
+    for (int index = 0; index < aFronts; ++index) {
+      mFronts.push_back(
+        std::make_unique<test_front>(mStore, "front-" + std::to_string(index), mAdvice.Endpoint()));
+    }
+    BOOST_REQUIRE(Until([this] { return Holder() != nullptr; }));
+  }
+
+  void Step()
+  {
+    auto const now = base::Now();
+    if (now - mBeatAt > base::milliseconds{ 500 }) {
+      mBeatAt = now;
+      for (auto const& side : mSides) {
+        side->Beat(side->mWorkerState);
+      }
+    }
+    mOutside.restart();
+    mOutside.poll();
+    for (auto const& front : mFronts) {
+      if (!front->mIsFrozen) {
+        front->mContext.restart();
+        front->mContext.poll();
+      }
+    }
+    for (auto const& side : mSides) {
+      if (!side->mIsFrozen) {
+        side->mContext.restart();
+        side->mContext.poll();
+      }
+    }
+    std::this_thread::sleep_for(base::milliseconds{ 1 });
+  }
+
+  /// Runs until a condition holds; false after the limit.
+  bool Until(std::function<bool()> const& aCondition,
+             base::milliseconds aLimit = base::milliseconds{ 15'000 })
+  {
+    auto const limit = base::Now() + aLimit;
+    while (!aCondition()) {
+      if (base::Now() > limit) {
+        return false;
+      }
+      Step();
+    }
+    return true;
+  }
+
+  void For(base::milliseconds aTime)
+  {
+    auto const until = base::Now() + aTime;
+    while (base::Now() < until) {
+      Step();
+    }
+  }
+
+  test_front* Holder()
+  {
+    for (auto const& front : mFronts) {
+      if (!front->mIsFrozen && front->mScheduler.IsHolder()) {
+        return front.get();
+      }
+    }
+    return nullptr;
+  }
+
+  test_front& Standby()
+  {
+    auto* const holder = Holder();
+    return mFronts[0].get() == holder ? *mFronts[1] : *mFronts[0];
+  }
+
+  unsigned Call(test_front& aFront, std::string aMethod, std::string aPath, std::string aBody = {},
+                std::string const& aKey = kKey, via aVia = via::any)
+  {
+    net::http_request request{ .mMethod = std::move(aMethod), .mTarget = std::move(aPath) };
+    request.mHeaders.Add("Host", "h");
+    request.mHeaders.Add("Api-Key", aKey);
+    request.mBody = std::move(aBody);
+    std::optional<net::http_response> response;
+    auto& callers = aFront.mCallers;
+    boost::asio::co_spawn(
+      aFront.mContext,
+      aVia == via::any ? callers.Handle(std::move(request))
+                       : callers.HandleHere(std::move(request)),
+      [&](std::exception_ptr, net::http_response aResponse) { response = std::move(aResponse); });
+    BOOST_REQUIRE(Until([&] { return response.has_value(); }));
+    mLastBody = response->mBody;
+    return response->mStatus;
+  }
+
+  std::string State(std::string const& aPath)
+  {
+    auto const status = Call(Standby(), "GET", aPath);
+    if (status != 200) {
+      return std::to_string(status);
+    }
+    return base::json::parse(mLastBody).at("state").get<std::string>();
+  }
+
+  bool Ends(std::string const& aPath, std::string const& aState,
+            base::milliseconds aLimit = base::milliseconds{ 20'000 })
+  {
+    return Until([&] { return State(aPath) == aState; }, aLimit);
+  }
+
+  boost::asio::io_context mOutside{ 1 };
+  fake_row_store mStore{ mOutside };
+  fake_advice mAdvice{ mOutside };
+  run_journal mJournal;
+  std::vector<std::unique_ptr<test_side>> mSides;
+  std::vector<std::unique_ptr<test_front>> mFronts;
+  base::time_point mBeatAt{};
+  std::string mLastBody;
+};
+
+inline void RequireNoFaults(test_cluster const& aCluster)
+{
+  for (auto const& fault : aCluster.mJournal.Faults()) {
+    BOOST_ERROR(fault);
+  }
+}
+
+} // namespace rattanpond::platform
