Net: Serve new connections during a drain

A drain closed the acceptor, which resets clients that the kernel has already connected, and it closed connections that had been accepted but had not sent yet. The entry also asked for active requests before its traffic threads had begun to drain.

Ruled out: an executor that cuts (no executor was under a fault in that case), and the client's own limit (8 s, status 28).

Change: a drain first accepts what waits, gives each new connection a second for its first request, and the process ends only once the server says that it has drained. Destroying a server closes its connections, so that none outlives its handler.

Between the last accept and the close of the listening socket a connection can still be reset; TCP has no way to close that gap.

--- a/source/daemons/entry_process.cpp
+++ b/source/daemons/entry_process.cpp
@@ -257,7 +257,7 @@
     if (aFailure) {
       return;
     }
-    if (ActiveRequests() > 0) {
+    if (!IsDrained()) {
       FinishWhenIdle();
       return;
     }
@@ -266,13 +266,9 @@
   });
 }
 
-std::size_t entry_process::ActiveRequests() const
+bool entry_process::IsDrained() const
 {
-  std::size_t active = 0;
-  for (auto const& thread : mTraffic) {
-    active += thread->ActiveRequests() + thread->Requests().Active();
-  }
-  return active;
+  return std::ranges::all_of(mTraffic, [](auto const& aThread) { return aThread->IsDrained(); });
 }
 
 std::map<std::string, placement::worker> entry_process::KnownWorkers() const
--- a/source/daemons/entry_process.h
+++ b/source/daemons/entry_process.h
@@ -40,7 +40,7 @@
   void BeginShutdown();
   void FinishWhenIdle();
   void ScheduleTick();
-  std::size_t ActiveRequests() const;
+  bool IsDrained() const;
   std::map<std::string, placement::worker> KnownWorkers() const;
 
   entry_settings mSettings;
--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -106,7 +106,7 @@
   co_await mScheduler->Release();
   co_await net::Sleep(kRotationNotice);
   mCallerServer->Drain();
-  while (mCallerServer->ActiveRequests() > 0) {
+  while (!mCallerServer->IsDrained()) {
     co_await net::Sleep(kDrainPoll);
   }
   mDaemon.Finish();
--- a/source/daemons/traffic_thread.h
+++ b/source/daemons/traffic_thread.h
@@ -41,7 +41,7 @@
   /// Safe from every thread; see net::http_server.
   void AnnounceClose();
   void Drain();
-  std::size_t ActiveRequests() const { return mServer->ActiveRequests(); }
+  bool IsDrained() const { return mServer->IsDrained() && mRequests->Active() == 0; }
 
 private:
   traffic_thread(options const& aOptions, boost::asio::io_context& aControl,
--- a/source/net/http_server.cpp
+++ b/source/net/http_server.cpp
@@ -26,6 +26,9 @@
 
 constexpr base::milliseconds kAcceptRetryDelay{ 100 };
 
+// A client sends its first request within a round trip of connecting; 1 s covers a busy machine.
+constexpr base::milliseconds kFirstRequestWait{ 1'000 };
+
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 http_request FromBeast(http::request<http::string_body>&& aMessage)
@@ -79,6 +82,7 @@
   implementation(asio::io_context& aContext, options aOptions)
     : mContext{ aContext }
     , mAcceptor{ aContext }
+    , mFirstRequestTimer{ aContext }
     , mOptions{ std::move(aOptions) }
   {
   }
@@ -115,26 +119,37 @@
 
   void Drain()
   {
-    mClosesConnections = true;
-    mIsDraining = true;
-    boost::system::error_code ignored;
-    mAcceptor.close(ignored);
+    if (!CloseAcceptor()) {
+      return;
+    }
     for (auto* const idle : mIdle) {
       // The read ends with an error and the session closes; nothing of a request has arrived.
       idle->cancel();
     }
+    mFirstRequestTimer.expires_after(kFirstRequestWait);
+    mFirstRequestTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code const& /*aIgnored*/) {
+        for (auto* const stream : self->mUnused) {
+          stream->cancel();
+        }
+      });
   }
 
   void Stop()
   {
-    Drain();
+    mIsDraining = true;
+    boost::system::error_code ignored;
+    mAcceptor.close(ignored);
+    mFirstRequestTimer.cancel();
     for (auto* const stream : mStreams) {
-      stream->cancel();
+      stream->close();
     }
   }
 
   std::size_t ActiveRequests() const { return mActive.load(); }
 
+  bool IsDrained() const { return mIsDraining && mUnusedCount == 0 && mActive == 0; }
+
 private:
   asio::awaitable<void> AcceptLoop()
   {
@@ -155,54 +170,87 @@
         // Closing at once tells the balancer to try another instance.
         continue;
       }
-      socket.set_option(tcp::no_delay{ true }, failure);
-      asio::co_spawn(
-        mContext,
-        [self, stream = std::make_shared<beast::tcp_stream>(std::move(socket))] {
-          return self->Session(stream);
-        },
-        asio::detached);
+      StartSession(std::move(socket));
     }
   }
 
+  /// Returns whether the acceptor was still open. Clients whose connections the kernel has
+  /// completed may have sent a request, which closing the acceptor would reset; they are served.
+  bool CloseAcceptor()
+  {
+    if (!mAcceptor.is_open()) {
+      return false;
+    }
+    mClosesConnections = true;
+    boost::system::error_code failure;
+    mAcceptor.non_blocking(true, failure);
+    while (!failure && mStreams.size() < mOptions.mMaximumConnections) {
+      auto socket = mAcceptor.accept(failure);
+      if (!failure) {
+        StartSession(std::move(socket));
+      }
+    }
+    mAcceptor.close(failure);
+    mIsDraining = true;
+    return true;
+  }
+
+  void StartSession(tcp::socket aSocket)
+  {
+    boost::system::error_code ignored;
+    aSocket.set_option(tcp::no_delay{ true }, ignored);
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(aSocket));
+    mStreams.insert(stream.get());
+    mUnused.insert(stream.get());
+    ++mUnusedCount;
+    asio::co_spawn(
+      mContext,
+      [self = shared_from_this(), stream = std::move(stream)] { return self->Session(stream); },
+      asio::detached);
+  }
+
   asio::awaitable<void> Session(std::shared_ptr<beast::tcp_stream> aStream)
   {
     auto const self = shared_from_this();
-    mStreams.insert(aStream.get());
     beast::flat_buffer buffer;
-    while (co_await ServeOne(*aStream, buffer)) {
+    while (co_await AwaitRequest(*aStream, buffer)) {
+      auto const staysOpen = co_await ReadAndAnswer(*aStream, buffer);
+      --mActive;
+      if (!staysOpen) {
+        break;
+      }
     }
     mStreams.erase(aStream.get());
     boost::system::error_code ignored;
     aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
   }
 
-  /// Waits for the first byte of a request, so that an idle connection can be told from a busy one.
-  asio::awaitable<boost::system::error_code> AwaitRequest(beast::tcp_stream& aStream,
-                                                          beast::flat_buffer& aBuffer)
+  /// Waits for the first byte of a request, which is active from then on. Returns whether it came.
+  asio::awaitable<bool> AwaitRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
   {
+    auto const isUnused = mUnused.contains(&aStream);
     boost::system::error_code failure;
     if (aBuffer.size() == 0) {
-      mIdle.insert(&aStream);
+      if (!isUnused) {
+        if (mIsDraining) {
+          co_return false;
+        }
+        mIdle.insert(&aStream);
+      }
       aStream.expires_after(mOptions.mIdleTimeout);
       auto const count = co_await aStream.async_read_some(
         aBuffer.prepare(4096), asio::redirect_error(asio::use_awaitable, failure));
       aBuffer.commit(count);
       mIdle.erase(&aStream);
     }
-    co_return failure;
-  }
-
-  /// Serves one request. Returns whether the connection stays open.
-  asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
-  {
-    if (mIsDraining || co_await AwaitRequest(aStream, aBuffer)) {
-      co_return false;
+    // Counted before the connection stops counting as unused, so that IsDrained, which reads the
+    // two in the opposite order, never misses a request.
+    mActive += failure ? 0U : 1U;
+    if (isUnused) {
+      mUnused.erase(&aStream);
+      --mUnusedCount;
     }
-    ++mActive;
-    auto const keepAlive = co_await ReadAndAnswer(aStream, aBuffer);
-    --mActive;
-    co_return keepAlive;
+    co_return !failure;
   }
 
   asio::awaitable<bool> ReadAndAnswer(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
@@ -269,12 +317,17 @@
 
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
+  asio::steady_timer mFirstRequestTimer;
   options mOptions;
   std::set<beast::tcp_stream*> mStreams;
+  /// Connections on which no request has begun yet.
+  std::set<beast::tcp_stream*> mUnused;
+  /// Connections that wait for a further request.
   std::set<beast::tcp_stream*> mIdle;
+  std::atomic<std::size_t> mUnusedCount = 0;
   std::atomic<std::size_t> mActive = 0;
   bool mClosesConnections = false;
-  bool mIsDraining = false;
+  std::atomic<bool> mIsDraining = false;
 };
 
 base::result<std::unique_ptr<http_server>> http_server::Create(asio::io_context& aContext,
@@ -315,4 +368,9 @@
   return mImplementation->ActiveRequests();
 }
 
+bool http_server::IsDrained() const
+{
+  return mImplementation->IsDrained();
+}
+
 } // namespace rattanpond::net
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -46,12 +46,17 @@
   void AnnounceClose();
 
   /// Stops accepting, closes idle connections, and lets each running request finish with
-  /// "Connection: close". Call on the thread of the server.
+  /// "Connection: close". New connections still get their first request served if it arrives within
+  /// a second. Call on the thread of the server.
   void Drain();
 
-  /// Requests whose answer is not yet written.
+  /// Requests whose answer is not yet written. Safe from every thread.
   std::size_t ActiveRequests() const;
 
+  /// Whether Drain has run and no request is left that would be cut by destroying the server. Safe
+  /// from every thread.
+  bool IsDrained() const;
+
 private:
   class implementation;
   explicit http_server(std::shared_ptr<implementation> aImplementation);
--- a/source/net/tests/http_server_test.cpp
+++ b/source/net/tests/http_server_test.cpp
@@ -130,6 +130,45 @@
   BOOST_TEST(mServer->ActiveRequests() == 0U);
 }
 
+// Guards against a planned stop that resets clients which have connected and not sent yet: one
+// whose connection the server has taken, and one that still waits in the queue of the kernel.
+BOOST_AUTO_TEST_CASE(DrainServesTheFirstRequestOfNewConnections)
+{
+  asio::io_context clients;
+  tcp::socket taken{ clients };
+  taken.connect(mServer->Endpoint());
+  mContext.run_for(base::milliseconds{ 50 });
+  tcp::socket queued{ clients };
+  queued.connect(mServer->Endpoint());
+
+  mServer->Drain();
+  mContext.run_for(base::milliseconds{ 50 });
+  BOOST_TEST(!mServer->IsDrained());
+  for (auto* const client : { &taken, &queued }) {
+    asio::write(*client, asio::buffer(std::string_view{
+                           "POST /echo/a HTTP/1.1\r\nContent-Length: 1\r\n\r\n1" }));
+    mContext.run_for(base::milliseconds{ 100 });
+    std::string received;
+    boost::system::error_code failure;
+    asio::read(*client, asio::dynamic_buffer(received), failure);
+    BOOST_TEST(failure == asio::error::eof);
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(received.find("Connection: close") != std::string::npos);
+  }
+  BOOST_TEST(mServer->IsDrained());
+}
+
+// Guards against a planned stop that waits for a client which connects and never sends.
+BOOST_AUTO_TEST_CASE(DrainEndsConnectionsThatStaySilent)
+{
+  asio::io_context clients;
+  tcp::socket silent{ clients };
+  silent.connect(mServer->Endpoint());
+  mServer->Drain();
+  mContext.run_for(base::milliseconds{ 1500 });
+  BOOST_TEST(mServer->IsDrained());
+}
+
 // Guards against a client that cannot tell "never sent" from "may have been processed".
 BOOST_AUTO_TEST_CASE(ClientTellsUnsentFromUnanswered)
 {
