Dispatch: Log for whom a run stops and what a start resumes from

Change: a preemption names the job that it makes room for and whether that job is within its guarantee; a start logs its checkpoint. The placement tests check the reason.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -400,7 +400,8 @@
     for (auto const run : best->mVictims) {
       mIsStopped[run] = true;
       Return(run, mSoon);
-      mDecision.mStops.push_back(run);
+      mDecision.mStops.push_back(
+        { .mRun = run, .mForJob = aGroup.mJob, .mIsForGuarantee = aGroup.mIsGuaranteed });
     }
     Claim(aGroup, best->mChosen);
   }
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -75,12 +75,20 @@
   std::string mWorker{};
 };
 
+/// A run that makes room for a more urgent job.
+struct preemption
+{
+  /// Position in the list of preemptible runs.
+  std::size_t mRun = 0;
+  std::string mForJob{};
+  bool mIsForGuarantee = false;
+};
+
 struct placement_decision
 {
   /// Tasks to start, group by group; the tasks of a gang are neighbours.
   std::vector<placed_task> mStarts{};
-  /// Positions in the list of preemptible runs.
-  std::vector<std::size_t> mStops{};
+  std::vector<preemption> mStops{};
 };
 
 /// Decides what starts where and what stops for it. Groups are served by priority, guaranteed ones
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -271,8 +271,9 @@
                                .mTicket = ticket.value_or(std::string{}) });
   mOptions.mMetrics.Counter("rattanpond_starts").Add();
   base::Log("scheduler")
-    ->info("start task={} run={} node={} born={} term={} waited_ms={}", name, aStart.mRun,
-           aStart.mNode, task->mState.mWorkerBorn, mTerm, (now - job->mSeenAt).count());
+    ->info("start task={} run={} node={} born={} term={} waited_ms={} checkpoint={}", name,
+           aStart.mRun, aStart.mNode, task->mState.mWorkerBorn, mTerm, (now - job->mSeenAt).count(),
+           task->mState.mCheckpoint.empty() ? "none" : task->mState.mCheckpoint);
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -272,10 +272,14 @@
   auto needs = PermitNeeds(offers, groups);
   auto const decision = DecidePlacement(std::move(offers), groups, runs);
   SeekPermits(std::move(needs), decision, now);
-  for (auto const stopped : decision.mStops) {
-    auto& job = *mOptions.mReplica.FindJob(runs[stopped].mJob);
-    for (auto const& position : runs[stopped].mTasks) {
-      OrderStop(job, position, "preempted for a guarantee");
+  for (auto const& stop : decision.mStops) {
+    auto const& run = runs[stop.mRun];
+    auto& job = *mOptions.mReplica.FindJob(run.mJob);
+    auto const why =
+      (stop.mIsForGuarantee ? "preempted for a guarantee, job " : "preempted for urgent job ") +
+      stop.mForJob;
+    for (auto const& position : run.mTasks) {
+      OrderStop(job, position, why);
     }
   }
   // The members of a gang share a run number.
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -115,7 +115,9 @@
   auto const decision = DecidePlacement(workers, { owner }, runs);
   BOOST_TEST(decision.mStarts.empty());
   BOOST_REQUIRE(decision.mStops.size() == 1U);
-  BOOST_TEST(decision.mStops.front() == 1U);
+  BOOST_TEST(decision.mStops.front().mRun == 1U);
+  BOOST_TEST(decision.mStops.front().mForJob == "owner");
+  BOOST_TEST(decision.mStops.front().mIsForGuarantee);
 }
 
 // Guards against a chain of preemptions: room that is being cleared is not cleared twice, and is
@@ -132,7 +134,7 @@
                                            Run("bulk", { "w2" }, 8, 300.0, 2) };
   auto const decision = DecidePlacement(workers, { owner }, both);
   BOOST_REQUIRE(decision.mStops.size() == 1U);
-  BOOST_TEST(decision.mStops.front() == 1U);
+  BOOST_TEST(decision.mStops.front().mRun == 1U);
   std::vector<preemptible_run> const urgentOnly{ Run("urgent", { "w1" }, 8, 5.0, 0) };
   BOOST_TEST(DecidePlacement({ workers.front() }, { owner }, urgentOnly).mStops.size() == 1U);
 }
@@ -186,7 +188,7 @@
   auto const cheap = DecidePlacement(
     workers, { urgent }, { Run("old", { "w1" }, 8, 500.0), Run("young", { "w2" }, 8, 20.0) });
   BOOST_REQUIRE(cheap.mStops.size() == 1U);
-  BOOST_TEST(cheap.mStops.front() == 1U);
+  BOOST_TEST(cheap.mStops.front().mRun == 1U);
   auto const dear = DecidePlacement(
     workers, { urgent }, { Run("old", { "w1" }, 8, 500.0), Run("older", { "w2" }, 8, 900.0) });
   BOOST_TEST(dear.mStops.empty());
@@ -321,9 +323,9 @@
         RC_ASSERT(started[group.mJob] == group.mIndexes.size());
       }
     }
-    for (auto const stop : decision.mStops) {
-      RC_ASSERT(!runs[stop].mIsStopping);
-      RC_ASSERT(!runs[stop].mIsGuaranteed);
+    for (auto const& stop : decision.mStops) {
+      RC_ASSERT(!runs[stop.mRun].mIsStopping);
+      RC_ASSERT(!runs[stop.mRun].mIsGuaranteed);
     }
   });
 }
