Dispatch: Space the stops of runs that are not current

Their worker answered its lists and cut off each stop, so each result of a stop brought a report, and each report the next stop.

Ruled out: the spacing of stops of current runs (a run that stops is not ordered to stop again for 1.5 s); links that are dialed again (one link all the while).

Change: a run that a worker lists and that is not the current one is told to stop at most every 1.5 s.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -7,6 +7,7 @@
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
 #include "dispatch/run_time_forecast.h"
+#include "dispatch/stop_spacing.h"
 #include "dispatch/worker_health.h"
 #include "net/link_dialer.h"
 #include "platform/advice_client.h"
@@ -64,6 +65,8 @@
     std::int64_t mStoredEnd = 0;
     std::vector<start_order> mStarts;
     std::vector<stop_order> mStops;
+    /// Stops of listed runs that are not the current ones.
+    stop_spacing mUnwantedRuns;
     worker_health mHealth;
     base::time_point mRefusesUntil{};
   };
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -80,6 +80,7 @@
   for (auto const& run : report.mEnded) {
     listed.insert(RunKey(run.mTask, run.mRun));
   }
+  aSession.mUnwantedRuns.KeepOnly(listed);
   ApplyEnds(aSession);
   ApplyRunning(aSession);
   ApplyResults(aSession, listed);
@@ -99,6 +100,7 @@
   aSession.mNotedEnd = 0;
   aSession.mStoredEnd = 0;
   aSession.mHealth = {};
+  aSession.mUnwantedRuns = {};
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mState.mWorker == aSession.mNode && aTask.mState.mWorkerBorn < aBorn) {
       EndWithoutResult(aJob, aPosition, "the worker's incarnation is gone");
@@ -288,7 +290,8 @@
     auto const live = FindLiveRun(aSession, run.mTask, run.mRun);
     auto* const task = live.mTask;
     if (task == nullptr) {
-      if (!IsPartOfDoneGang(run)) {
+      if (!IsPartOfDoneGang(run) &&
+          aSession.mUnwantedRuns.IsDue(RunKey(run.mTask, run.mRun), now)) {
         aSession.mStops.push_back({ run.mTask, run.mRun });
         base::Log("scheduler")
           ->info("stop task={} run={} node={} why=\"not the current run\"", run.mTask, run.mRun,
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -73,6 +73,8 @@
     /// Stopped runs go on for this long.
     base::milliseconds mStopGrace{ 0 };
     bool mIsMute = false;
+    /// Stops are cut off at once and not carried out.
+    bool mCutsStops = false;
     /// Starts carry this ticket or are refused.
     std::string mTicket{};
   };
@@ -139,8 +141,17 @@
     mStartedAt = base::Now();
   }
 
+  /// A run that the worker lists without having been told to start it.
+  void Plant(std::string const& aTask, std::uint32_t aRun)
+  {
+    mRuns[aTask] = { aRun, base::Now() + mWork };
+    mDeadline = std::max(mDeadline, Clock() + 8000);
+    mJournal.Started(aTask);
+  }
+
   faults mFaults;
   base::milliseconds mWork{ 300 };
+  std::size_t mStopCalls = 0;
   std::size_t mLapses = 0;
   std::size_t mStarted = 0;
   std::size_t mTicketRefusals = 0;
@@ -242,6 +253,11 @@
       }
       co_return lost;
     }
+    auto const isStop = aRequest.mTarget == "/api/run-stop";
+    mStopCalls += isStop ? 1 : 0;
+    if (isStop && mFaults.mCutsStops) {
+      co_return lost;
+    }
     if (aRequest.mHeaders.Value("X-Expect-Instance") != mId) {
       co_return net::JsonResponse(421, Answer());
     }
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -101,6 +101,25 @@
   BOOST_TEST(stops <= 6U);
 }
 
+// Found on a grown day: a worker answered its lists and cut off each stop of eight runs that were
+// not current any more. Each result brought a report and each report the next stops, 7,256 in 3 s.
+BOOST_AUTO_TEST_CASE(stops_of_unwanted_runs_are_spaced)
+{
+  test_cluster cluster{ 1, 1 };
+  auto& worker = cluster.mSides[0]->mWorker;
+  cluster.For(milliseconds{ 300 });
+  worker.mWork = milliseconds{ 20'000 };
+  worker.mFaults.mCutsStops = true;
+  worker.Plant(JobId(31) + ".0.0.0", 1);
+  BOOST_REQUIRE(cluster.Until([&] { return worker.mStopCalls > 0; }));
+  cluster.For(milliseconds{ 4000 });
+  // Each order is tried four times.
+  BOOST_TEST(worker.mStopCalls >= 8U);
+  BOOST_TEST(worker.mStopCalls <= 16U);
+  worker.mFaults.mCutsStops = false;
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Live() == 0; }, milliseconds{ 3000 }));
+}
+
 // Guards against work that is lost or doubled when the scheduler ends, and against a takeover that
 // takes longer than stated.
 BOOST_AUTO_TEST_CASE(a_standby_adopts_running_work)
