Dispatch: Pace filling work beside tasks that serve users

Cause: filling and serving tasks were kept on different workers without exception, so on a service whose workers all serve, a filling job waited for ever while capacity was idle.

Weighed: keeping one worker free of serving tasks (wastes its processors, and lasting tasks cannot be moved away later); pacing in the side (it does not know which tasks serve, and would need it told again after each restart). The scheduler knows both, and a report each second is fast enough for the users' bound.

Change: the two share a worker only where no other has room. pace_control halves the pace near the target, pauses it at the target, and raises it slowly; after a pause it stays below half of what led to it. Paced runs do not count as stalled.

The placement test that kept the two apart on a single worker is replaced: it now requires that both run there, and that they are apart wherever another worker has room, also when the serving worker is the tighter fit. What the former test guarded against, users who wait because of filling work, is guarded by pace_control_test and pace_test on the whole path.

Before: pace_test fails, the filling task does not start. After: it passes.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -80,15 +80,19 @@
 
   static bool MayRunOn(waiting_group const& aGroup, worker_offer const& aWorker)
   {
-    auto const& shape = *aGroup.mShape;
-    // Tasks that fill idle processors disturb those that serve users, by amounts that nobody knows
-    // beforehand, so the two are kept apart.
-    auto const isDisturbed = (shape.mFillsIdle && aWorker.mHasServing) ||
-                             (shape.mServingTarget.count() > 0 && aWorker.mHasFilling);
-    return !isDisturbed && MeetsRequirements(aGroup, aWorker) &&
+    return MeetsRequirements(aGroup, aWorker) &&
            (!aGroup.mAllowed || Contains(*aGroup.mAllowed, aWorker.mWorker));
   }
 
+  /// Tasks that fill idle processors disturb those that serve users, by amounts that nobody knows
+  /// beforehand. They share a worker only where no other one has room, and then at a controlled
+  /// pace.
+  bool IsDisturbed(job_step const& aShape, std::size_t aWorker) const
+  {
+    return (aShape.mFillsIdle && mWorkers[aWorker].mHasServing) ||
+           (aShape.mServingTarget.count() > 0 && mWorkers[aWorker].mHasFilling);
+  }
+
   /// Workers that may run the group: those of the data's rack if there are any, and without those
   /// where it has failed if others remain.
   positions Candidates(waiting_group const& aGroup) const
@@ -153,30 +157,30 @@
   }
 
   /// Best fit: the worker with the fewest accelerators, then processors, left free, so that whole
-  /// workers stay free for large tasks.
+  /// workers stay free for large tasks; one where nothing is disturbed before all others.
   std::optional<std::size_t> BestFit(waiting_group const& aGroup, positions const& aMembers,
                                      amounts_by_worker const& aFree,
                                      std::map<std::size_t, std::uint32_t> const& aPlaced) const
   {
     std::optional<std::size_t> best;
+    auto const& shape = *aGroup.mShape;
     auto const limit = LimitPerWorker(aGroup);
+    auto const rank = [&](std::size_t aIndex) {
+      return std::tuple{ IsDisturbed(shape, aIndex), aFree[aIndex].mAccelerators,
+                         aFree[aIndex].mMillicores };
+    };
     for (auto const index : aMembers) {
-      if (!aFree[index].Covers(ReservedNeed(*aGroup.mShape)) ||
+      if (!aFree[index].Covers(ReservedNeed(shape)) ||
           Count(aGroup, index) + Value(aPlaced, index) >= limit) {
         continue;
       }
-      if (!best || Tightness(aFree[index]) < Tightness(aFree[*best])) {
+      if (!best || rank(index) < rank(*best)) {
         best = index;
       }
     }
     return best;
   }
 
-  static std::pair<std::int64_t, std::int64_t> Tightness(amounts const& aFree)
-  {
-    return { aFree.mAccelerators, aFree.mMillicores };
-  }
-
   static std::uint32_t Value(std::map<std::size_t, std::uint32_t> const& aCounts,
                              std::size_t aIndex)
   {
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -281,6 +281,7 @@
   session.mLink.reset();
   session.mStarts.clear();
   session.mStops.clear();
+  session.mPaces.clear();
   base::Log("scheduler")->info("side-lost node={}", aNode);
   ForEachActiveTask([&](job_record&, task_position const&, tracked_task& aTask) {
     if (aTask.mState.mWorker == aNode &&
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "dispatch/failure_history.h"
 #include "dispatch/messages.h"
+#include "dispatch/pace_control.h"
 #include "dispatch/permit_book.h"
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
@@ -65,6 +66,9 @@
     std::int64_t mStoredEnd = 0;
     std::vector<start_order> mStarts;
     std::vector<stop_order> mStops;
+    std::vector<pace_order> mPaces;
+    /// For the filling tasks beside serving ones.
+    pace_control mPace;
     /// Stops of listed runs that are not the current ones.
     stop_spacing mUnwantedRuns;
     worker_health mHealth;
@@ -119,6 +123,8 @@
   void ApplyResults(session& aSession, std::set<std::string> const& aListed);
   void ApplyEnds(session& aSession);
   void ApplyRunning(session& aSession);
+  /// Orders the pace of filling tasks by how the serving tasks beside them fare.
+  void ControlPace(session& aSession, base::time_point aNow);
   void SettleMissing(session& aSession, std::set<std::string> const& aListed);
   void SendOrders(session& aSession);
 
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t kNoReport = 0;
 /// After a refused start, its worker is left alone for about the time in which a stop frees room.
 constexpr milliseconds kRefusalRest{ 400 };
+/// Share at which a task works when it starts, in percent.
+constexpr std::uint32_t kWholePace = 100;
 /// Checkpoints of a job are stored once this much of its work, in core-seconds, would be lost with
 /// the scheduler and the workers: a worker of eight accelerators does it in 2 to 3 s.
 constexpr double kUnsavedWork = 250.0;
@@ -90,6 +92,7 @@
   }
   if (report.mHasLists) {
     SettleMissing(aSession, listed);
+    ControlPace(aSession, now);
   }
   Pump();
   SendOrders(aSession);
@@ -101,6 +104,7 @@
   aSession.mStoredEnd = 0;
   aSession.mHealth = {};
   aSession.mUnwantedRuns = {};
+  aSession.mPace = {};
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mState.mWorker == aSession.mNode && aTask.mState.mWorkerBorn < aBorn) {
       EndWithoutResult(aJob, aPosition, "the worker's incarnation is gone");
@@ -362,6 +366,54 @@
   }
 }
 
+void scheduler::ControlPace(session& aSession, base::time_point aNow)
+{
+  std::vector<listed_run const*> filling;
+  std::optional<double> tail;
+  for (auto const& run : aSession.mReport.mRunning) {
+    auto const live = FindLiveRun(aSession, run.mTask, run.mRun);
+    if (live.mTask == nullptr) {
+      continue;
+    }
+    auto const& step = live.mJob->Step(live.mPosition);
+    if (step.mServingTarget.count() > 0) {
+      tail = std::max(tail.value_or(0), static_cast<double>(run.mLoadFigure) /
+                                          static_cast<double>(step.mServingTarget.count()));
+    }
+    if (step.mFillsIdle) {
+      filling.push_back(&run);
+    }
+  }
+  if (filling.empty()) {
+    aSession.mPace = {};
+    return;
+  }
+  auto const before = aSession.mPace.Percent();
+  if (tail) {
+    aSession.mPace.Observe(*tail, aNow);
+  } else {
+    aSession.mPace.Lift();
+  }
+  auto const percent = aSession.mPace.Percent();
+  if (percent != before) {
+    base::Log("scheduler")
+      ->info("pace node={} percent={} before={} tail_of_target={:.2f} filling={}", aSession.mNode,
+             percent, before, tail.value_or(0), filling.size());
+  }
+  if (percent == kWholePace && before == kWholePace) {
+    return;
+  }
+  // A reduced pace is ordered with each report: tasks start at the whole pace, and an order may be
+  // lost.
+  for (auto const* const run : filling) {
+    aSession.mPaces.push_back({ .mTask = run->mTask, .mRun = run->mRun, .mPercent = percent });
+    auto& task = *FindTask(run->mTask).mTask;
+    // Neither its progress nor its run time tells anything about the worker or the queue.
+    task.mProgressAt = aNow;
+    task.mIsTimed = false;
+  }
+}
+
 void scheduler::SettleMissing(session& aSession, std::set<std::string> const& aListed)
 {
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
@@ -388,9 +440,11 @@
                       .mBorn = aSession.mReport.mBorn,
                       .mAcknowledged = aSession.mStoredEnd,
                       .mStarts = std::move(aSession.mStarts),
-                      .mStops = std::move(aSession.mStops) };
+                      .mStops = std::move(aSession.mStops),
+                      .mPaces = std::move(aSession.mPaces) };
   aSession.mStarts.clear();
   aSession.mStops.clear();
+  aSession.mPaces.clear();
   aSession.mLink->Send(orders);
 }
 
