Dispatch: Say so when the start of an ended run is not known

Ruled out: forecasts learned from such ages (only runs that this process started are timed).

Change: the line says `after_ms=unknown`.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -39,6 +39,12 @@
   return aTask + '/' + std::to_string(aRun);
 }
 
+/// For the log; the start of an adopted run is known only once its worker has listed it.
+std::string TimeSince(base::time_point aStart, base::time_point aNow)
+{
+  return aStart == base::time_point{} ? "unknown" : std::to_string((aNow - aStart).count());
+}
+
 } // namespace
 
 void scheduler::HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame)
@@ -174,7 +180,7 @@
   auto const now = base::Now();
   base::Log("scheduler")
     ->info("end task={} run={} end={} node={} after_ms={}", aEnd.mTask, aEnd.mRun,
-           base::Name(aEnd.mEnd), task.mState.mWorker, (now - task.mStartedAt).count());
+           base::Name(aEnd.mEnd), task.mState.mWorker, TimeSince(task.mStartedAt, now));
   mOptions.mMetrics.Counter("rattanpond_ends_" + std::string{ base::Name(aEnd.mEnd) }).Add();
   if (!aEnd.mCheckpoint.empty()) {
     task.mState.mCheckpoint = aEnd.mCheckpoint;
