Dispatch: Log a transaction that waits for the store once a second

Change: one line a second, with the number of attempts. A comment in job_record_test stands with its test again.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -99,6 +99,8 @@
     std::vector<std::pair<std::string, job_phase>> mJobs;
     std::vector<planned_start> mStarts;
     std::map<std::string, std::int64_t> mEnds;
+    std::uint32_t mAttempts = 0;
+    base::time_point mPendingLoggedAt{};
   };
 
   boost::asio::awaitable<void> RoleLoop();
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -27,6 +27,8 @@
 constexpr int kShortestRetryMs = 60;
 constexpr int kLongestRetryMs = 200;
 constexpr milliseconds kIdleWait{ 60'000 };
+/// A transaction that waits for the store is logged at this rate, while it is tried each 130 ms.
+constexpr milliseconds kPendingLogInterval{ 1000 };
 /// What was learned of run times travels with other changes, at most this often: about 1 KB.
 constexpr milliseconds kRunTimesInterval{ 3000 };
 
@@ -149,9 +151,13 @@
     case commit_outcome::refused:
     case commit_outcome::unknown:
       // The same transaction again: its conditions keep it from taking effect twice.
-      base::Log("scheduler")
-        ->warn("commit-pending jobs={} outcome={}", mBatch->mJobs.size(),
-               static_cast<int>(result.mOutcome));
+      ++mBatch->mAttempts;
+      if (base::Now() - mBatch->mPendingLoggedAt >= kPendingLogInterval) {
+        mBatch->mPendingLoggedAt = base::Now();
+        base::Log("scheduler")
+          ->warn("commit-pending jobs={} outcome={} attempts={}", mBatch->mJobs.size(),
+                 static_cast<int>(result.mOutcome), mBatch->mAttempts);
+      }
       break;
   }
 }
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -158,7 +158,6 @@
   BOOST_TEST(!IsStalled(steady, At(6000)));
 }
 
-// Guards against further tasks on a worker on which one stands still.
 // A task of five minutes that declares two seconds shows one percent each three seconds.
 BOOST_AUTO_TEST_CASE(a_task_that_stalls_again_gets_more_time)
 {
@@ -171,6 +170,7 @@
   BOOST_TEST(IsStalled(progress, now + milliseconds{ 3'600'000 }));
 }
 
+// Guards against further tasks on a worker on which one stands still.
 BOOST_AUTO_TEST_CASE(a_worker_rests_after_a_stalled_run)
 {
   worker_health health;
