Dispatch: Do not refuse a passed-on call whose outcome is open

That front's transaction had no answer either (`submit ... status=504`) and took effect: the job started 3 s later. An answer 504 of another front was also dropped.

Ruled out: the front's own write (refused three times by the store, which then has done nothing); the other fronts, which said 504.

Change: the forwarder tells whether a front that it sent the call to left the outcome open; then a submission or cancellation is answered 504 instead of any refusal, and the caller asks again.

Before: flow_test/a_passed_on_job_without_an_outcome_is_not_refused gets 503 twice.

--- a/source/dispatch/call_forwarder.cpp
+++ b/source/dispatch/call_forwarder.cpp
@@ -16,6 +16,15 @@
 constexpr milliseconds kConnectTimeout{ 300 };
 constexpr std::size_t kMaximumFronts = 3;
 
+bool MayHaveTakenEffect(base::reply<net::http_response> const& aAnswer)
+{
+  if (base::Succeeded(aAnswer)) {
+    return std::get<0>(aAnswer).mStatus == 504;
+  }
+  auto const code = base::Error(aAnswer).mCode;
+  return code != base::result_code::connect_failed && code != base::result_code::queue_full;
+}
+
 } // namespace
 
 call_forwarder::call_forwarder(options aOptions)
@@ -38,9 +47,10 @@
   return client.get();
 }
 
-asio::awaitable<std::optional<net::http_response>> call_forwarder::Forward(
-  net::http_request aRequest, base::time_point aDeadline)
+asio::awaitable<call_forwarder::result> call_forwarder::Forward(net::http_request aRequest,
+                                                                base::time_point aDeadline)
 {
+  result passedOn;
   std::vector<std::pair<std::string, std::string>> others;
   for (auto const& [node, record] : mOptions.mReplica.Fronts()) {
     if (node != mOptions.mNode) {
@@ -65,13 +75,14 @@
       mPreferred = node;
       auto response = std::move(std::get<0>(answer));
       // The framing of the two connections differs; only what callers read is passed on.
-      net::http_response passed{ .mStatus = response.mStatus };
-      passed.mHeaders.Add("Content-Type", "application/json");
-      passed.mBody = std::move(response.mBody);
-      co_return passed;
+      passedOn.mAnswer = net::http_response{ .mStatus = response.mStatus };
+      passedOn.mAnswer->mHeaders.Add("Content-Type", "application/json");
+      passedOn.mAnswer->mBody = std::move(response.mBody);
+      co_return passedOn;
     }
+    passedOn.mIsOutcomeOpen = passedOn.mIsOutcomeOpen || MayHaveTakenEffect(answer);
   }
-  co_return std::nullopt;
+  co_return passedOn;
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/call_forwarder.h
+++ b/source/dispatch/call_forwarder.h
@@ -22,11 +22,17 @@
     std::string mNode;
   };
 
+  struct result
+  {
+    /// The answer of the first other front that gave one which is not a refusal.
+    std::optional<net::http_response> mAnswer{};
+    /// A front was sent the call and did not say what became of it: it may still take effect.
+    bool mIsOutcomeOpen = false;
+  };
+
   explicit call_forwarder(options aOptions);
 
-  /// The answer of the first other front that gives one that is not a refusal, or nothing.
-  boost::asio::awaitable<std::optional<net::http_response>> Forward(net::http_request aRequest,
-                                                                    base::time_point aDeadline);
+  boost::asio::awaitable<result> Forward(net::http_request aRequest, base::time_point aDeadline);
 
 private:
   net::http_client* Client(std::string const& aAddress);
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -175,26 +175,32 @@
 awaitable<http_response> caller_api::Handle(http_request aRequest)
 {
   auto const deadline = Deadline(aRequest, base::Now());
+  auto const isRead = aRequest.mMethod == "GET";
   auto const isCutOff = !mOptions.mReplica.IsStoreAnswering() ||
                         ConfigurationAge() > ConfirmationLimit(kReadinessShare);
+  std::optional<http_response> own;
   if (!isCutOff) {
     auto copy = aRequest;
-    auto response = co_await HandleHere(std::move(copy));
-    if (response.mStatus != 503) {
-      co_return response;
+    own = co_await HandleHere(std::move(copy));
+    if (own->mStatus != 503) {
+      co_return std::move(*own);
     }
-    auto passed = co_await mForwarder.Forward(std::move(aRequest), deadline);
-    if (passed) {
-      co_return std::move(*passed);
-    }
-    co_return response;
   }
   auto copy = aRequest;
-  auto passed = co_await mForwarder.Forward(std::move(copy), deadline);
-  if (passed) {
-    co_return std::move(*passed);
+  auto passedOn = co_await mForwarder.Forward(std::move(copy), deadline);
+  if (passedOn.mAnswer) {
+    co_return std::move(*passedOn.mAnswer);
+  }
+  if (!own) {
+    own = co_await HandleHere(std::move(aRequest));
+  }
+  // What this front says is true only if no other one may still carry the call out.
+  auto const isRefusal = own->mStatus >= 400 && own->mStatus != 504;
+  if (passedOn.mIsOutcomeOpen && isRefusal && !isRead) {
+    base::Log("caller")->info("outcome-open status={} said=504", own->mStatus);
+    co_return Refusal(504, "the outcome is not known");
   }
-  co_return co_await HandleHere(std::move(aRequest));
+  co_return std::move(*own);
 }
 
 awaitable<http_response> caller_api::HandleHere(http_request aRequest)
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -207,6 +207,27 @@
   BOOST_TEST(cluster.mJournal.TasksStarted() == 0U);
 }
 
+// Found on a grown day (arla-sched-grown, trouble-2, slow store): a front that the store refused
+// passed a submission on, heard nothing in time, and said that the job had not run; the other
+// front's transaction took effect afterwards.
+BOOST_AUTO_TEST_CASE(a_passed_on_job_without_an_outcome_is_not_refused)
+{
+  test_cluster cluster;
+  auto& standby = cluster.Standby();
+  auto& holder = *cluster.Holder();
+  standby.mDoor.mBehaviour = fake_row_store::behaviour::refuses;
+  holder.mDoor.mBehaviour = fake_row_store::behaviour::loses_answers;
+  BOOST_TEST(cluster.Call(standby, "POST", "/u/" + JobId(32), JobBody(1, 1)) == 504U);
+  holder.mDoor.mBehaviour = fake_row_store::behaviour::serves;
+  holder.mIsFrozen = true;
+  BOOST_TEST(cluster.Call(standby, "POST", "/u/" + JobId(33), JobBody(1, 1)) == 504U);
+  holder.mIsFrozen = false;
+  standby.mDoor.mBehaviour = fake_row_store::behaviour::serves;
+  // The first took effect, so that a refusal would have been untrue.
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Starts(JobId(32) + ".0.0.0") == 1; }));
+  RequireNoFaults(cluster);
+}
+
 // Guards against a key that hands in work after it was taken away, at a front that does not hear of
 // it: the acceptance itself is conditional on the configuration.
 BOOST_AUTO_TEST_CASE(a_revoked_key_is_refused_by_the_store)
