Dispatch: Let gang members wait for the others at their end

Change: for a member that has not begun or has done its share, the latest step of any member counts. A member that hangs before that is still found by its own progress.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -39,6 +39,24 @@
   return aTask + '/' + std::to_string(aRun);
 }
 
+/// Progress of a task that has done its share, in percent.
+constexpr std::int64_t kWholeShare = 100;
+
+/// A member of a gang that has not begun, or has done its share, waits for the others. It stands
+/// still only if none of them moves on.
+base::time_point LastProgress(job_record const& aJob, task_position const& aPosition,
+                              tracked_task const& aTask)
+{
+  auto last = aTask.mProgressAt;
+  auto const isWaiting = aTask.mProgress == 0 || aTask.mProgress >= kWholeShare;
+  if (aJob.Step(aPosition).mIsGang && isWaiting) {
+    for (auto const& member : aJob.Tasks(aPosition.mOccurrence, aPosition.mStep)) {
+      last = std::max(last, member.mProgressAt);
+    }
+  }
+  return last;
+}
+
 /// For the log; the start of an adopted run is known only once its worker has listed it.
 std::string TimeSince(base::time_point aStart, base::time_point aNow)
 {
@@ -537,7 +555,7 @@
     }
     auto const found = mSessions.find(aTask.mState.mWorker);
     if (found == mSessions.end() || aNow - found->second->mReportedAt > kReportAge ||
-        !IsStalled({ .mSince = std::max(aTask.mProgressAt, mHolderSince),
+        !IsStalled({ .mSince = std::max(LastProgress(aJob, aPosition, aTask), mHolderSince),
                      .mExpected = ExpectedRunTime(aJob, step),
                      .mLastInterval = aTask.mProgressInterval,
                      .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0,
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -120,6 +120,32 @@
   BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Live() == 0; }, milliseconds{ 3000 }));
 }
 
+// Found on arla-sched, scale-1: the member of a gang on the faster worker had done its share and
+// waited for the other one. It was taken for stalled and the whole gang was stopped just before its
+// end.
+BOOST_AUTO_TEST_CASE(a_member_that_waits_for_its_gang_is_not_stalled)
+{
+  test_cluster cluster{ 1, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 8000 };
+    side->mWorker.mShareTime = milliseconds{ 8000 };
+  }
+  cluster.mSides[0]->mWorker.mShareTime = milliseconds{ 2000 };
+  base::json const step{ { "count", 2 }, { "cpu", 1000 },         { "mem_mb", 1000 },
+                         { "gpu", 8 },   { "estimate_ms", 8000 }, { "gang", true } };
+  auto const path = "/b/" + JobId(34);
+  auto const body = base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, body) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 2; }));
+  BOOST_TEST(cluster.Until([&] { return cluster.mJournal.Live() == 0; }));
+  BOOST_TEST(cluster.mJournal.Starts(JobId(34) + ".0.0.0") == 1U);
+  BOOST_TEST(cluster.mJournal.Starts(JobId(34) + ".0.0.1") == 1U);
+  for (auto const& side : cluster.mSides) {
+    BOOST_TEST(side->mWorker.mStopCalls == 0U);
+  }
+  RequireNoFaults(cluster);
+}
+
 // Guards against work that is lost or doubled when the scheduler ends, and against a takeover that
 // takes longer than stated.
 BOOST_AUTO_TEST_CASE(a_standby_adopts_running_work)
