Dispatch: Find gang members that never begin

Before: flow_test/a_member_that_never_begins_is_stalled sees no stop within 7 s. After: both cases of members pass.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -42,14 +42,13 @@
 /// Progress of a task that has done its share, in percent.
 constexpr std::int64_t kWholeShare = 100;
 
-/// A member of a gang that has not begun, or has done its share, waits for the others. It stands
-/// still only if none of them moves on.
+/// A member of a gang that has done its share waits for the others, and stands still only if none
+/// of them moves on. One that has not begun while others move on does not wait for them.
 base::time_point LastProgress(job_record const& aJob, task_position const& aPosition,
                               tracked_task const& aTask)
 {
   auto last = aTask.mProgressAt;
-  auto const isWaiting = aTask.mProgress == 0 || aTask.mProgress >= kWholeShare;
-  if (aJob.Step(aPosition).mIsGang && isWaiting) {
+  if (aJob.Step(aPosition).mIsGang && aTask.mProgress >= kWholeShare) {
     for (auto const& member : aJob.Tasks(aPosition.mOccurrence, aPosition.mStep)) {
       last = std::max(last, member.mProgressAt);
     }
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -146,6 +146,25 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a gang that is held up until the lease ends by a member that never begins: the
+// others move on, so it does not wait for them.
+BOOST_AUTO_TEST_CASE(a_member_that_never_begins_is_stalled)
+{
+  test_cluster cluster{ 1, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 12'000 };
+    side->mWorker.mShareTime = milliseconds{ 12'000 };
+  }
+  cluster.mSides[0]->mWorker.mShareTime = milliseconds{ 60'000'000 };
+  base::json const step{ { "count", 2 }, { "cpu", 1000 },           { "mem_mb", 1000 },
+                         { "gpu", 8 },   { "estimate_ms", 12'000 }, { "gang", true } };
+  auto const body = base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/b/" + JobId(35), body) == 200U);
+  BOOST_REQUIRE(cluster.Until([&] { return cluster.mJournal.Live() == 2; }));
+  BOOST_TEST(
+    cluster.Until([&] { return cluster.mSides[0]->mWorker.mStopCalls > 0; }, milliseconds{ 7000 }));
+}
+
 // Guards against work that is lost or doubled when the scheduler ends, and against a takeover that
 // takes longer than stated.
 BOOST_AUTO_TEST_CASE(a_standby_adopts_running_work)
