Dispatch: Look each filling task up once

Cause: on the last read of the diff, ControlPace looked each filling task up twice for every report, and the whole pace stood both in pace_control and in scheduler_reports.

Change: the found task is kept, and the constant is pace_control's. Behaviour is the same.

--- a/source/dispatch/pace_control.h
+++ b/source/dispatch/pace_control.h
@@ -16,6 +16,7 @@
 class pace_control
 {
 public:
+  static constexpr std::uint32_t kWholePercent = 100;
   /// Filling work begins at this share, in percent, and shows what it does to its neighbours.
   static constexpr std::uint32_t kFirstPercent = 20;
   /// Shares of the target: the pace is halved from the first on, and work pauses from the second
@@ -61,8 +62,6 @@
   }
 
 private:
-  static constexpr std::uint32_t kWholePercent = 100;
-
   explicit pace_control(std::uint32_t aPercent)
     : mPercent{ aPercent }
   {
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -27,8 +27,6 @@
 constexpr std::uint64_t kNoReport = 0;
 /// After a refused start, its worker is left alone for about the time in which a stop frees room.
 constexpr milliseconds kRefusalRest{ 400 };
-/// Share at which a task works when it starts, in percent.
-constexpr std::uint32_t kWholePace = 100;
 /// Checkpoints of a job are stored once this much of its work, in core-seconds, would be lost with
 /// the scheduler and the workers: a worker of eight accelerators does it in 2 to 3 s.
 constexpr double kUnsavedWork = 250.0;
@@ -391,7 +389,7 @@
 
 void scheduler::ControlPace(session& aSession, base::time_point aNow)
 {
-  std::vector<listed_run const*> filling;
+  std::vector<std::pair<listed_run const*, tracked_task*>> filling;
   std::optional<double> tail;
   for (auto const& run : aSession.mReport.mRunning) {
     auto const live = FindLiveRun(aSession, run.mTask, run.mRun);
@@ -404,7 +402,7 @@
                                           static_cast<double>(step.mServingTarget.count()));
     }
     if (step.mFillsIdle) {
-      filling.push_back(&run);
+      filling.emplace_back(&run, live.mTask);
     }
   }
   if (filling.empty()) {
@@ -423,17 +421,16 @@
       ->info("pace node={} percent={} before={} tail_of_target={:.2f} filling={}", aSession.mNode,
              percent, before, tail.value_or(0), filling.size());
   }
-  if (percent == kWholePace && before == kWholePace) {
+  if (percent == pace_control::kWholePercent && before == pace_control::kWholePercent) {
     return;
   }
   // A reduced pace is ordered with each report: tasks start at the whole pace, and an order may be
   // lost.
-  for (auto const* const run : filling) {
+  for (auto const& [run, task] : filling) {
     aSession.mPaces.push_back({ .mTask = run->mTask, .mRun = run->mRun, .mPercent = percent });
-    auto& task = *FindTask(run->mTask).mTask;
     // Neither its progress nor its run time tells anything about the worker or the queue.
-    task.mProgressAt = aNow;
-    task.mIsTimed = false;
+    task->mProgressAt = aNow;
+    task->mIsTimed = false;
   }
 }
 
