Dispatch: Let a gang use a worker it failed on if the others are too few

Cause: a gang of two whole workers waited for good after a stall of one member. It avoided the worker of the stall as long as any other one remained, and the others could not hold all members even when idle. The rack of the data had the same fault. Change: a gang is kept to the preferred workers only if it fits there when they are idle.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -92,8 +92,8 @@
            (aShape.mServingTarget.count() > 0 && mWorkers[aWorker].mHasBestEffort);
   }
 
-  /// Workers that may run the group: only those in the rack of its data if there are any, and
-  /// without those on which it has failed if others remain.
+  /// Workers that may run the group: only those in the rack of its data, and without those on which
+  /// it has failed, if the others suffice.
   positions Candidates(waiting_group const& aGroup) const
   {
     positions all;
@@ -102,19 +102,24 @@
         all.push_back(index);
       }
     }
-    auto const keepIfAny = [&](auto const& aKeeps) {
+    // A gang starts as a whole, so it would wait for good on workers that it does not fit on even
+    // when they are idle. Independent tasks can run one after the other on any that remain.
+    auto const isSufficient = [&](positions const& aKept) {
+      return aGroup.mShape->mIsGang ? FitsWhenIdle(aGroup, aKept) : !aKept.empty();
+    };
+    auto const keepIfSufficient = [&](auto const& aKeeps) {
       positions kept;
       std::ranges::copy_if(all, std::back_inserter(kept), aKeeps);
-      if (!kept.empty()) {
+      if (isSufficient(kept)) {
         all = std::move(kept);
       }
     };
     if (!aGroup.mShape->mDataRack.empty()) {
-      keepIfAny(
+      keepIfSufficient(
         [&](std::size_t aIndex) { return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack; });
     }
     if (!aGroup.mFailedOn.empty()) {
-      keepIfAny([&](std::size_t aIndex) {
+      keepIfSufficient([&](std::size_t aIndex) {
         return std::ranges::find(aGroup.mFailedOn, mWorkers[aIndex].mWorker) ==
                aGroup.mFailedOn.end();
       });
@@ -135,11 +140,7 @@
     }
     std::vector<positions> domains;
     for (auto const& [name, members] : racks) {
-      resources_by_worker capacities;
-      for (auto const& worker : mWorkers) {
-        capacities.push_back(worker.mCapacity);
-      }
-      if (Fit(aGroup, members, capacities)) {
+      if (FitsWhenIdle(aGroup, members)) {
         domains.push_back(members);
       }
     }
@@ -212,6 +213,15 @@
     return chosen;
   }
 
+  bool FitsWhenIdle(waiting_group const& aGroup, positions const& aMembers) const
+  {
+    resources_by_worker capacities;
+    for (auto const& worker : mWorkers) {
+      capacities.push_back(worker.mCapacity);
+    }
+    return Fit(aGroup, aMembers, std::move(capacities)).has_value();
+  }
+
   void Start(waiting_group const& aGroup, std::size_t aTask, std::size_t aWorker)
   {
     mFree[aWorker] -= ReservedDemand(*aGroup.mShape);
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -65,6 +65,34 @@
 
 BOOST_AUTO_TEST_SUITE(placement_test)
 
+// Guards against a gang that waits for good: it avoided the worker on which a member had stalled,
+// and the workers that remained could not hold all its members even when idle.
+BOOST_AUTO_TEST_CASE(gang_uses_a_worker_it_failed_on_if_the_others_are_too_few)
+{
+  auto const step = Step(2, 8, true);
+  auto group = Group("job", step);
+  group.mFailedOn = { "w1" };
+  auto const needed =
+    DecidePlacement({ Snapshot("w1", "r1"), Snapshot("w2", "r1") }, { group }, {});
+  BOOST_TEST(needed.mStarts.size() == 2U);
+  auto const avoided = DecidePlacement(
+    { Snapshot("w1", "r1"), Snapshot("w2", "r1"), Snapshot("w3", "r1") }, { group }, {});
+  BOOST_TEST(avoided.mStarts.size() == 2U);
+  for (auto const& start : avoided.mStarts) {
+    BOOST_TEST(start.mWorker != "w1");
+  }
+}
+
+// Guards against a gang that waits for good because the rack of its data is too small for it.
+BOOST_AUTO_TEST_CASE(gang_leaves_the_rack_of_its_data_if_that_is_too_small)
+{
+  auto step = Step(2, 8, true);
+  step.mDataRack = "r1";
+  auto const decision =
+    DecidePlacement({ Snapshot("w1", "r1"), Snapshot("w2", "r2") }, { Group("job", step) }, {});
+  BOOST_TEST(decision.mStarts.size() == 2U);
+}
+
 // Guards against gangs that start partially and wait for members that no worker has resources for.
 BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all)
 {
