Dispatch: Bound each wait for the end of a run

The power of all machines went; the side of a worker that had left came back without a worker and reported no incarnation, and ExpireLeases returned for it without a bound. Ruled out: lost ends (none was listed), placement (the fleet was idle). Read on the way: a report that the worker did not answer let its runs expire by the lease as last known, although a lost report may have been followed by a renewal; a new address of a side restarted the count of the takeover. A side reports when the lease of an absent worker is over. A run that is not listed and whose start can no longer take effect is over. Runs with an overdue end are logged and counted.

--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -29,6 +29,8 @@
   run_status mRunStatus = run_status::unconfirmed;
   base::time_point mRunStatusSince{};
   base::time_point mStartedAt{};
+  /// Time since which it is unknown whether the run is still running; not set while it is listed.
+  base::time_point mEndUnknownSince{};
   /// Progress in the worker's run list, and the time of its last change.
   std::int64_t mProgress = 0;
   base::time_point mProgressAt{};
@@ -118,3 +120,14 @@
 };
 
 } // namespace rattanpond::dispatch
+
+template<>
+struct rattanpond::base::enum_names<rattanpond::dispatch::run_status>
+{
+  using status = rattanpond::dispatch::run_status;
+  static constexpr enum_name<status> kTable[] = { { status::unconfirmed, "unconfirmed" },
+                                                  { status::planned, "planned" },
+                                                  { status::starting, "starting" },
+                                                  { status::running, "running" },
+                                                  { status::stopping, "stopping" } };
+};
--- a/source/dispatch/lease_timing.h
+++ b/source/dispatch/lease_timing.h
@@ -14,6 +14,11 @@
 /// A side renews the lease for this long after it sent the last report that was answered.
 inline constexpr base::milliseconds kLeaseRenewalWindow{ 3000 };
 
+/// A holder without a confirmed read from the store for this long may have been replaced and renews
+/// no more leases, so that the next holder can determine when they have expired. Longer than the
+/// usual store outage, so that runs survive one.
+inline constexpr base::milliseconds kMaximumStoreSilence{ 6000 };
+
 /// Start orders that answer an older report are refused, as the scheduler's decision may be
 /// outdated.
 inline constexpr base::milliseconds kMaximumOrderAge{ 1800 };
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -114,6 +114,7 @@
   mIsHolder = true;
   mTerm = mOptions.mReplica.Term().mNumber;
   mHolderSince = base::Now();
+  mLeases.clear();
   mDirty.clear();
   mPlanned.clear();
   mBatch.reset();
@@ -126,6 +127,8 @@
     job->ForEachTask([&](task_position const&, tracked_task& aTask) {
       aTask.mRunStatus = run_status::unconfirmed;
       aTask.mRunStatusSince = mHolderSince;
+      aTask.mStartedAt = {};
+      aTask.mEndUnknownSince = {};
       aTask.mIsRunTimeMeasured = false;
     });
     if (IsFinal(job->Phase())) {
@@ -197,6 +200,7 @@
     StopStalledRuns(now);
     StoreCheckpoints(now);
     ExpireLeases(now);
+    WatchUnknownEnds(now);
     RemoveEndedJobs(now);
     SchedulePlanning();
   }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "dispatch/failure_history.h"
+#include "dispatch/lease_evidence.h"
 #include "dispatch/messages.h"
 #include "dispatch/pace_control.h"
 #include "dispatch/permit_cache.h"
@@ -60,7 +61,6 @@
     bool mHasReport = false;
     side_report mReport;
     base::time_point mReportedAt{};
-    base::time_point mLeaseExpiresAt{};
     /// Highest run end that is recorded in memory, and in the store.
     std::int64_t mRecordedEnd = 0;
     std::int64_t mStoredEnd = 0;
@@ -141,7 +141,11 @@
   void UpdatePhase(job_record& aJob);
   void RecordJobEnd(std::string const& aId);
   void ApplyCancellations();
+  /// Latest end of the run if no further report of its worker arrives.
+  lease_evidence::latest_end LatestEnd(task_state const& aRun) const;
   void ExpireLeases(base::time_point aNow);
+  /// Logs and counts runs whose end has been unknown for longer than any lease may last.
+  void WatchUnknownEnds(base::time_point aNow);
   void ExpireOrders(base::time_point aNow);
   void StopStalledRuns(base::time_point aNow);
   void StoreCheckpoints(base::time_point aNow);
@@ -183,6 +187,9 @@
   std::uint64_t mTerm = 0;
   base::time_point mHolderSince{};
   std::map<std::string, std::unique_ptr<session>> mSessions;
+  /// By node; outlives the session, which a new address of the side replaces.
+  std::map<std::string, lease_evidence> mLeases;
+  base::time_point mOverdueLoggedAt{};
   std::set<std::string> mDirty;
   std::vector<planned_start> mPlanned;
   std::optional<batch> mBatch;
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -20,10 +20,6 @@
 /// Stalls are detected only with reports no older than this; side agents report every second while
 /// their worker has runs.
 constexpr milliseconds kMaximumReportAge{ 1500 };
-/// A holder without a confirmed read from the store for this long may have been replaced and renews
-/// no more leases, so that the next holder can determine when they have expired. Longer than the
-/// usual store outage, so that runs survive one.
-constexpr milliseconds kMaximumStoreSilence{ 6000 };
 /// Sequence numbers of reports begin at 1.
 constexpr std::uint64_t kNoReport = 0;
 /// After a refused start, nothing is started on the worker for about the time in which a stop frees
@@ -33,6 +29,13 @@
 /// the scheduler and the workers failed. A worker with eight accelerators does as much in 2 to 3 s.
 constexpr double kUnsavedWorkLimit = 250.0;
 constexpr milliseconds kCheckpointsInterval{ 2000 };
+/// Log interval, and number of runs logged each time, for runs whose end is overdue.
+constexpr milliseconds kOverdueLogInterval{ 5000 };
+constexpr std::int64_t kOverdueRunsLogged = 5;
+/// Longest time between the reading of run lists by a side and the receipt of its report: the lists
+/// of a worker that has not answered for 1.5 s are no longer reported, and a link without a message
+/// is closed after 3 s.
+constexpr milliseconds kMaximumRunListsAge{ 4500 };
 
 std::string RunKey(std::string const& aTask, std::uint32_t aRun)
 {
@@ -97,7 +100,11 @@
   }
   aSession.mHasReport = true;
   aSession.mReportedAt = now;
-  aSession.mLeaseExpiresAt = now + aReport.mLeaseLeft + kLeaseExpiryMargin;
+  mLeases.try_emplace(aSession.mNode, mHolderSince, mOptions.mSettings.mMaximumLease)
+    .first->second.RecordReport(
+      { .mIncarnationStart = aReport.mIncarnationStart,
+        .mIsLeaseOver = aReport.mState == worker_state::absent && aReport.mLeaseLeft.count() == 0 },
+      now);
   aSession.mReport = std::move(aReport);
   auto const& report = aSession.mReport;
   std::set<std::string> listed;
@@ -443,14 +450,25 @@
 
 void scheduler::StopUnlistedRuns(session& aSession, std::set<std::string> const& aListed)
 {
+  auto const now = base::Now();
+  auto const startBound =
+    kMaximumOrderAge + MaximumRealTime(std::min(kLeaseLength, mOptions.mSettings.mMaximumLease)) +
+    kLeaseExpiryMargin + kMaximumRunListsAge;
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const isOnWorker =
       aTask.mState.mWorker == aSession.mNode &&
       aTask.mState.mWorkerIncarnationStart == aSession.mReport.mIncarnationStart;
-    auto const shouldBeListed =
-      aTask.mRunStatus == run_status::unconfirmed || aTask.mRunStatus == run_status::running;
-    if (isOnWorker && shouldBeListed &&
-        !aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
+    if (!isOnWorker || aTask.mRunStatus == run_status::planned ||
+        aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
+      return;
+    }
+    // A worker may leave stops unanswered for good, but it refuses a start after its deadline.
+    auto const orderedAt = aTask.mStartedAt == base::time_point{} ? mHolderSince : aTask.mStartedAt;
+    if (now - orderedAt > startBound) {
+      aTask.mFailedOn = aTask.mState.mWorker;
+      RequeueTask(aJob, aPosition, "not listed, and its start can no longer take effect");
+    } else if (aTask.mRunStatus == run_status::unconfirmed ||
+               aTask.mRunStatus == run_status::running) {
       OrderStop(aJob, aPosition, "the worker does not list the run");
     }
   });
@@ -524,32 +542,68 @@
   }
 }
 
+lease_evidence::latest_end scheduler::LatestEnd(task_state const& aRun) const
+{
+  auto const found = mLeases.find(aRun.mWorker);
+  return found == mLeases.end()
+           ? lease_evidence{ mHolderSince, mOptions.mSettings.mMaximumLease }.RunsEndBy(
+               aRun.mWorkerIncarnationStart)
+           : found->second.RunsEndBy(aRun.mWorkerIncarnationStart);
+}
+
 void scheduler::ExpireLeases(base::time_point aNow)
 {
-  auto const expiryBound = LeaseExpiryBound(mOptions.mSettings.mMaximumLease);
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
-    auto const found = mSessions.find(aTask.mState.mWorker);
-    auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
-    if (session == nullptr || !session->mHasReport) {
-      // The former holder may have renewed leases until its kMaximumStoreSilence ended.
-      if (aNow > mHolderSince + kMaximumStoreSilence + expiryBound) {
-        RequeueTask(aJob, aPosition, "the lease has lapsed since the takeover");
-      }
+    // No order has left for a planned run; the commit of its transaction, or a conflict, ends the
+    // wait.
+    if (aTask.mRunStatus == run_status::planned) {
+      return;
+    }
+    auto const end = LatestEnd(aTask.mState);
+    // The start order may still be on its way to the side.
+    auto const isStartUnderWay = aTask.mStartedAt != base::time_point{} &&
+                                 aNow <= aTask.mStartedAt + kMaximumOrderAge + kLeaseExpiryMargin;
+    if (aNow > end.mAt && !isStartUnderWay) {
+      RequeueTask(aJob, aPosition, std::string{ base::Name(end.mReason) });
+    }
+  });
+}
+
+void scheduler::WatchUnknownEnds(base::time_point aNow)
+{
+  auto const bound = kMaximumStoreSilence + LeaseExpiryBound(mOptions.mSettings.mMaximumLease);
+  std::int64_t overdue = 0;
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    if (aTask.mRunStatus == run_status::running || aTask.mRunStatus == run_status::planned) {
+      aTask.mEndUnknownSince = {};
       return;
     }
-    if (session->mReport.mIncarnationStart != aTask.mState.mWorkerIncarnationStart) {
+    if (aTask.mEndUnknownSince == base::time_point{}) {
+      aTask.mEndUnknownSince = aNow;
+    }
+    if (aNow - aTask.mEndUnknownSince <= bound) {
       return;
     }
-    // A side agent that cannot reach its worker does not renew the lease; one whose reports do not
-    // arrive may renew it for a while.
-    auto const expiresAt = std::max(
-      session->mReportedAt +
-        (session->mReport.mState == worker_state::absent ? milliseconds{ 0 } : expiryBound),
-      session->mLeaseExpiresAt);
-    if (aNow > expiresAt && aTask.mRunStatus != run_status::planned) {
-      RequeueTask(aJob, aPosition, "the lease has lapsed");
+    if (++overdue > kOverdueRunsLogged || aNow - mOverdueLoggedAt < kOverdueLogInterval) {
+      return;
     }
+    auto const found = mSessions.find(aTask.mState.mWorker);
+    auto const* const session = found == mSessions.end() ? nullptr : found->second.get();
+    auto const end = LatestEnd(aTask.mState);
+    base::Log("scheduler")
+      ->warn("run-end-overdue task={} run={} node={} born={} status={} for_ms={} linked={} "
+             "reported_born={} state={} next=\"{}\" in_ms={}",
+             TaskName(aJob.Id(), aPosition), aTask.mState.mRun, aTask.mState.mWorker,
+             aTask.mState.mWorkerIncarnationStart, base::Name(aTask.mRunStatus),
+             (aNow - aTask.mEndUnknownSince).count(), session != nullptr && session->mLink,
+             session == nullptr ? 0 : session->mReport.mIncarnationStart,
+             session == nullptr ? "unknown" : base::Name(session->mReport.mState),
+             base::Name(end.mReason), (end.mAt - aNow).count());
   });
+  if (overdue > 0 && aNow - mOverdueLoggedAt >= kOverdueLogInterval) {
+    mOverdueLoggedAt = aNow;
+  }
+  mOptions.mMetrics.Gauge("rattanpond_runs_with_overdue_end").Set(overdue);
 }
 
 void scheduler::StopStalledRuns(base::time_point aNow)
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -287,7 +287,11 @@
     if (!mMustReport) {
       auto const isBusy = !mLists.mRunning.empty() || !mLists.mEnded.empty() || !mOrders.empty();
       auto const interval = isBusy ? kBusyReportInterval : kIdleReportInterval;
-      auto const due = mReportedAt + interval;
+      auto due = mReportedAt + interval;
+      if (mState == worker_state::absent && mHeartbeat && LeaseLeft(mReportedAt).count() > 0) {
+        // The scheduler waits for the report that the lease of a lost worker is over.
+        due = std::min(due, mReportedAt + LeaseLeft(mReportedAt) + milliseconds{ 1 });
+      }
       auto const left = std::max(milliseconds{ 1 }, due - base::Now());
       boost::system::error_code ignored;
       mReportTimer.expires_after(left);
--- /dev/null
+++ b/source/platform/tests/lost_worker_test.cpp
@@ -0,0 +1,109 @@
+#include "dispatch/lease_timing.h"
+#include "platform/tests/test_cluster.h"
+
+namespace rattanpond::platform {
+
+using base::milliseconds;
+
+namespace {
+
+/// Time in which a run is certainly over once its side has been replaced by a process that does not
+/// know the worker, with the takeover and the restart before it.
+milliseconds SideReplacementBound(deployment_settings const& aSettings)
+{
+  constexpr milliseconds kTakeoverAndRestart{ 3000 };
+  return kTakeoverAndRestart +
+         dispatch::MaximumRealTime(std::min(dispatch::kLeaseLength, aSettings.mMaximumLease)) +
+         dispatch::kLeaseExpiryMargin;
+}
+
+std::string GangBody(int aMembers)
+{
+  base::json const step{ { "count", aMembers }, { "cpu", 1000 },         { "mem_mb", 1000 },
+                         { "gpu", 8 },          { "estimate_ms", 5000 }, { "gang", true } };
+  return base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lost_worker_test)
+
+// Guards against work that is never started again: a worker left, then the power of all machines
+// went. Its side came back without a worker and reported no incarnation, and the new scheduler
+// waited for the run for good (further-grown, trouble-2; a gang waited for its last member).
+BOOST_AUTO_TEST_CASE(a_side_that_returns_without_its_worker_releases_the_run)
+{
+  for (auto const* const body : { "single", "gang" }) {
+    BOOST_TEST_CONTEXT(body)
+    {
+      test_cluster cluster{ 2, 3 };
+      for (auto const& side : cluster.mSides) {
+        side->mWorker.mWork = milliseconds{ 60'000 };
+        side->mWorker.mProgressTime = milliseconds{ 60'000 };
+      }
+      auto const isGang = body == std::string{ "gang" };
+      auto const id = JobId(41);
+      BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id,
+                              isGang ? GangBody(2) : JobBody(1, 8)) == 200U);
+      auto const tasks = isGang ? 2U : 1U;
+      BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == tasks; }));
+      std::size_t lost = 0;
+      while (cluster.mSides[lost]->mWorker.mStarted == 0) {
+        ++lost;
+      }
+      cluster.mSides[lost]->mWorker.Crash();
+      cluster.RestartSide(lost);
+      cluster.Holder()->mIsFrozen = true;
+      BOOST_TEST(cluster.RunUntil([&] { return cluster.mRecorder.Starts(id + ".0.0.0") == 2; },
+                                  SideReplacementBound(cluster.mFronts[0]->mSettings)));
+      RequireNoFaults(cluster);
+    }
+  }
+}
+
+// Guards against a run that is waited for as long as its worker leaves stops unanswered: the worker
+// answers its run lists, but no order, and the start was never carried out.
+BOOST_AUTO_TEST_CASE(a_worker_that_answers_no_order_releases_the_run)
+{
+  test_cluster cluster{ 1, 2 };
+  cluster.mSides[0]->mWorker.mFaults.mOrderDelay = milliseconds{ 60'000 };
+  auto const id = JobId(43);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, JobBody(1, 8)) == 200U);
+  // The age of the order, the lease, its margin and the age of the run lists.
+  milliseconds const bound = dispatch::kMaximumOrderAge +
+                             dispatch::MaximumRealTime(dispatch::kLeaseLength) +
+                             dispatch::kLeaseExpiryMargin + milliseconds{ 4500 };
+  constexpr milliseconds kStartAndReport{ 2000 };
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.mSides[1]->mWorker.mStarted == 1; },
+                              bound + kStartAndReport));
+  BOOST_TEST(cluster.mSides[0]->mWorker.mStarted == 0U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a second run beside one that still works: only the side was restarted, and its
+// worker runs on under its lease.
+BOOST_AUTO_TEST_CASE(a_restarted_side_keeps_the_run_of_a_living_worker)
+{
+  test_cluster cluster{ 2, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 60'000 };
+  }
+  auto const id = JobId(42);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, JobBody(1, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 1; }));
+  auto const busy = cluster.mSides[0]->mWorker.mStarted > 0 ? 0U : 1U;
+  cluster.mSides[busy]->StartAgent(cluster.mStore);
+  cluster.Holder()->mIsFrozen = true;
+  // The worker's next heartbeat is late by most of its lease.
+  cluster.mSides[busy]->mSendsHeartbeats = false;
+  cluster.RunFor(milliseconds{ 4500 });
+  cluster.mSides[busy]->mSendsHeartbeats = true;
+  cluster.RunFor(milliseconds{ 6000 });
+  BOOST_TEST(cluster.mRecorder.Starts(id + ".0.0.0") == 1U);
+  BOOST_TEST(cluster.mRecorder.ActiveRuns() == 1U);
+  RequireNoFaults(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::platform
--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -16,7 +16,7 @@
   {
     auto const limit = base::Now() + aLimit;
     while (!aCondition() && base::Now() < limit) {
-      for (auto* const context : { &mWorkers, &mScheduler, &mSide.mContext }) {
+      for (auto* const context : { &mWorkers, &mScheduler, &mSide.Context() }) {
         context->restart();
         context->poll();
       }
@@ -40,7 +40,7 @@
   std::vector<dispatch::side_report> mReports;
   net::link_ptr mLink;
   net::link_dialer mDialer{ mScheduler,
-                            { .mEndpoint = mSide.mAgent->Links(),
+                            { .mEndpoint = mSide.Agent().Links(),
                               .mHandlers = { .mOnFrame =
                                                [this](net::link_ptr const&, net::frame aFrame) {
                                                  ReceiveReport(aFrame);
--- a/source/platform/tests/test_cluster.h
+++ b/source/platform/tests/test_cluster.h
@@ -143,7 +143,9 @@
     if (now - mHeartbeatAt > base::milliseconds{ 500 }) {
       mHeartbeatAt = now;
       for (auto const& side : mSides) {
-        side->SendHeartbeat(side->mWorkerState);
+        if (side->mSendsHeartbeats) {
+          side->SendHeartbeat(side->mWorkerState);
+        }
       }
     }
     mSharedContext.restart();
@@ -156,8 +158,8 @@
     }
     for (auto const& side : mSides) {
       if (!side->mIsFrozen) {
-        side->mContext.restart();
-        side->mContext.poll();
+        side->Context().restart();
+        side->Context().poll();
       }
     }
     std::this_thread::sleep_for(base::milliseconds{ 1 });
@@ -201,6 +203,19 @@
     return mFronts[0].get() == holder ? *mFronts[1] : *mFronts[0];
   }
 
+  /// Replaces the side by another process, without its worker and without any earlier state.
+  test_side& RestartSide(std::size_t aIndex)
+  {
+    auto& side = mSides[aIndex];
+    auto const name = side->mSettings.mNode;
+    auto const domain = side->mDomain;
+    // Handlers of the former worker are pending in the shared context.
+    mFormerSides.push_back(std::move(side));
+    side = std::make_unique<test_side>(mStore, mSharedContext, mRecorder, name, domain);
+    side->mSendsHeartbeats = false;
+    return *side;
+  }
+
   unsigned Call(test_front& aFront, std::string aMethod, std::string aPath, std::string aBody = {},
                 std::string const& aKey = kKey, forwarding aForwarding = forwarding::allowed)
   {
@@ -240,6 +255,7 @@
   fake_advice mAdvice{ mSharedContext };
   run_recorder mRecorder;
   std::vector<std::unique_ptr<test_side>> mSides;
+  std::vector<std::unique_ptr<test_side>> mFormerSides;
   std::vector<std::unique_ptr<test_front>> mFronts;
   base::time_point mHeartbeatAt{};
   std::string mLastBody;
--- a/source/platform/tests/test_side.h
+++ b/source/platform/tests/test_side.h
@@ -5,11 +5,15 @@
 #include "platform/tests/fake_row_store.h"
 #include "platform/tests/fake_worker.h"
 
+#include <memory>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 namespace rattanpond::platform {
 
-/// A side agent and its worker; the agent has its own io_context, so that a test can freeze it.
+/// A side agent and its worker; the agent has its own io_context, so that a test can freeze or
+/// restart it.
 struct test_side
 {
   test_side(fake_row_store& aStore, boost::asio::io_context& aWorkers, run_recorder& aRecorder,
@@ -20,29 +24,49 @@
     mSettings.mNode = aName;
     mSettings.mFailureDomain = mDomain;
     mSettings.mWorker = mWorker.Endpoint();
-    mAgent = std::make_unique<dispatch::side_agent>(dispatch::side_agent::options{
-      .mContext = mContext, .mSettings = mSettings, .mMetrics = mMetrics });
+    StartAgent(aStore);
+  }
+
+  /// Starts the agent; an earlier one, and its context, stay as they are and are not run any more.
+  /// The worker continues.
+  void StartAgent(fake_row_store& aStore)
+  {
+    mProcesses.push_back(std::make_unique<process>());
+    auto& agent = mProcesses.back()->mAgent;
+    agent = std::make_unique<dispatch::side_agent>(dispatch::side_agent::options{
+      .mContext = Context(), .mSettings = mSettings, .mMetrics = mMetrics });
     auto const started = base::Capture([&] {
-      return mAgent->Start({ boost::asio::ip::address_v4::loopback(), 0 });
+      return agent->Start({ boost::asio::ip::address_v4::loopback(), 0 });
     });
     BOOST_REQUIRE(base::Succeeded(started));
-    aStore.Put(dispatch::kDispatchTable, dispatch::kSidePrefix + aName,
-               base::json{ { "address", net::ToString(mAgent->Links()) } }.dump());
+    aStore.Put(dispatch::kDispatchTable, dispatch::kSidePrefix + mSettings.mNode,
+               base::json{ { "address", net::ToString(agent->Links()) } }.dump());
   }
 
   void SendHeartbeat(std::string const& aState = "ready")
   {
-    mAgent->Heartbeat(mWorker.Id(), mWorker.Heartbeat(mDomain, "r1", aState));
+    Agent().Heartbeat(mWorker.Id(), mWorker.Heartbeat(mDomain, "r1", aState));
   }
 
-  boost::asio::io_context mContext{ 1 };
+  boost::asio::io_context& Context() { return mProcesses.back()->mContext; }
+  dispatch::side_agent& Agent() { return *mProcesses.back()->mAgent; }
+
   fake_worker mWorker;
   std::string mDomain;
   deployment_settings mSettings;
   base::metrics_registry mMetrics;
-  std::unique_ptr<dispatch::side_agent> mAgent;
   std::string mWorkerState = "ready";
+  /// Whether the worker sends heartbeats.
+  bool mSendsHeartbeats = true;
   bool mIsFrozen = false;
+
+private:
+  struct process
+  {
+    boost::asio::io_context mContext{ 1 };
+    std::unique_ptr<dispatch::side_agent> mAgent;
+  };
+  std::vector<std::unique_ptr<process>> mProcesses;
 };
 
 } // namespace rattanpond::platform
