Dispatch: Stop runs in time on workers that announce their departure

Change: the notice is read, refused alone if unusable, and reported; a run that saves its work goes on until the last moment for a stop, one that saves nothing is stopped only if it clearly cannot end. Stops of a tick leave at once, also while a transaction is under way.

--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -84,6 +84,19 @@
   return mTasks[aOccurrence][aStep];
 }
 
+std::vector<task_position> job_record::ActiveTasks(std::uint32_t aOccurrence,
+                                                   std::uint32_t aStep) const
+{
+  std::vector<task_position> active;
+  auto const& tasks = Tasks(aOccurrence, aStep);
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (tasks[index].mState.mStatus == task_status::active) {
+      active.push_back({ aOccurrence, aStep, index });
+    }
+  }
+  return active;
+}
+
 void job_record::ForEachTask(std::function<void(task_position const&, tracked_task&)> const& aVisit)
 {
   task_position position;
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -68,6 +68,9 @@
   std::vector<tracked_task>& Tasks(std::uint32_t aOccurrence, std::uint32_t aStep);
   std::vector<tracked_task> const& Tasks(std::uint32_t aOccurrence, std::uint32_t aStep) const;
 
+  /// Tasks of a step with a run that may be running.
+  std::vector<task_position> ActiveTasks(std::uint32_t aOccurrence, std::uint32_t aStep) const;
+
   void ForEachTask(std::function<void(task_position const&, tracked_task&)> const& aVisit);
 
   bool IsStepDone(std::uint32_t aOccurrence, std::uint32_t aStep) const;
--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -3,6 +3,7 @@
 #include "dispatch/job.h"
 #include "net/frame.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -122,6 +123,8 @@
   std::vector<order_result> mResults{};
   /// Upper bound of the time until the worker lease expires.
   base::milliseconds mLeaseLeft{ 0 };
+  /// Shortest time until a draining worker ends, if it states one.
+  std::optional<base::milliseconds> mTimeLeft{};
 
   static constexpr auto Fields()
   {
@@ -135,7 +138,8 @@
       base::Field("has_lists", &side_report::mHasRunLists),
       base::Field("running", &side_report::mRunning), base::Field("ended", &side_report::mEnded),
       base::Field("results", &side_report::mResults),
-      base::Field("lease_left_ms", &side_report::mLeaseLeft));
+      base::Field("lease_left_ms", &side_report::mLeaseLeft),
+      base::Field("time_left_ms", &side_report::mTimeLeft));
   }
 };
 
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -199,9 +199,11 @@
     CloseUnresponsiveLinks(now);
     ExpireOrders(now);
     StopStalledRuns(now);
+    StopDepartingRuns(now);
     StoreCheckpoints(now);
     ExpireLeases(now);
     WatchUnknownEnds(now);
+    SendPendingStops();
     RemoveEndedJobs(now);
     SchedulePlanning();
   }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -148,6 +148,11 @@
   void WatchUnknownEnds(base::time_point aNow);
   void ExpireOrders(base::time_point aNow);
   void StopStalledRuns(base::time_point aNow);
+  /// Stops runs in time that cannot end before their worker leaves.
+  void StopDepartingRuns(base::time_point aNow);
+  std::optional<base::milliseconds> TimeLeftOnWorker(tracked_task const& aTask,
+                                                     base::time_point aNow) const;
+  void SendPendingStops();
   void StoreCheckpoints(base::time_point aNow);
   void CloseUnresponsiveLinks(base::time_point aNow);
   void RemoveEndedJobs(base::time_point aNow);
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -55,11 +55,7 @@
       continue;
     }
     Plan();
-    for (auto const& [node, session] : mSessions) {
-      if (!session->mStops.empty()) {
-        SendOrders(*session);
-      }
-    }
+    SendPendingStops();
     while (mIsHolder && BuildBatch()) {
       while (mIsHolder && mBatch) {
         co_await CommitBatch();
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/departure_decision.h"
 #include "dispatch/lease_timing.h"
 #include "dispatch/run_progress.h"
 
@@ -290,12 +291,8 @@
 
 void scheduler::StopPartialGang(job_record& aJob, task_position const& aPosition)
 {
-  auto const& members = aJob.Tasks(aPosition.mOccurrence, aPosition.mStep);
-  for (std::uint32_t index = 0; index < members.size(); ++index) {
-    if (members[index].mState.mStatus == task_status::active) {
-      OrderStop(aJob, { aPosition.mOccurrence, aPosition.mStep, index },
-                "another member of the gang has ended");
-    }
+  for (auto const& member : aJob.ActiveTasks(aPosition.mOccurrence, aPosition.mStep)) {
+    OrderStop(aJob, member, "another member of the gang has ended");
   }
 }
 
@@ -495,6 +492,15 @@
   aSession.mLink->Send(orders);
 }
 
+void scheduler::SendPendingStops()
+{
+  for (auto const& [node, session] : mSessions) {
+    if (!session->mStops.empty()) {
+      SendOrders(*session);
+    }
+  }
+}
+
 void scheduler::UpdatePhase(job_record& aJob)
 {
   if (IsFinal(aJob.Phase())) {
@@ -637,6 +643,78 @@
   });
 }
 
+std::optional<milliseconds> scheduler::TimeLeftOnWorker(tracked_task const& aTask,
+                                                        base::time_point aNow) const
+{
+  auto const found = mSessions.find(aTask.mState.mWorker);
+  if (found == mSessions.end()) {
+    return std::nullopt;
+  }
+  auto const& session = *found->second;
+  if (session.mReport.mState != worker_state::draining || !session.mReport.mTimeLeft ||
+      session.mReport.mIncarnationStart != aTask.mState.mWorkerIncarnationStart) {
+    return std::nullopt;
+  }
+  return *session.mReport.mTimeLeft - (aNow - session.mReportedAt);
+}
+
+void scheduler::StopDepartingRuns(base::time_point aNow)
+{
+  // The members of a gang end together, so they are decided on together.
+  struct departure
+  {
+    departing_run mRun;
+    std::vector<task_position> mTasks;
+  };
+  std::map<std::pair<job_record*, task_position>, departure> departures;
+  ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
+    auto const timeLeft = TimeLeftOnWorker(aTask, aNow);
+    auto const isActive =
+      aTask.mRunStatus == run_status::running || aTask.mRunStatus == run_status::starting;
+    if (!timeLeft || !isActive || IsFinal(aJob.Phase())) {
+      return;
+    }
+    auto const& step = aJob.Step(aPosition);
+    auto key = aPosition;
+    if (step.mIsGang) {
+      key.mIndex = 0;
+    }
+    auto [found, isNew] = departures.try_emplace({ &aJob, key });
+    auto& run = found->second.mRun;
+    run.mTimeLeft = isNew ? *timeLeft : std::min(run.mTimeLeft, *timeLeft);
+    if (isNew) {
+      run.mIsCheckpointable = step.mIsCheckpointable;
+      run.mIsLongRunning = step.mIsLongRunning;
+      run.mStopTime = mOptions.mSettings.mStopTime;
+      found->second.mTasks = step.mIsGang ? aJob.ActiveTasks(aPosition.mOccurrence, aPosition.mStep)
+                                          : std::vector{ aPosition };
+    }
+  });
+  for (auto& [key, departure] : departures) {
+    auto& job = *key.first;
+    for (auto const& position : departure.mTasks) {
+      auto const& task = *job.Find(position);
+      auto const elapsed =
+        task.mStartedAt == base::time_point{} ? milliseconds{ 0 } : aNow - task.mStartedAt;
+      departure.mRun.mRunTimeLeft =
+        std::max(departure.mRun.mRunTimeLeft,
+                 RunTimeLeft({ .mElapsed = elapsed,
+                               .mPercent = task.mProgress,
+                               .mPercentAge = aNow - task.mProgressAt,
+                               .mExpected = ExpectedRunTime(job, job.Step(position)) }));
+    }
+    if (!MustStopBeforeDeparture(departure.mRun)) {
+      continue;
+    }
+    for (auto const& position : departure.mTasks) {
+      OrderStop(job, position,
+                "a worker leaves in " + std::to_string(departure.mRun.mTimeLeft.count()) +
+                  " ms, the run takes " + std::to_string(departure.mRun.mRunTimeLeft.count()) +
+                  " ms more");
+    }
+  }
+}
+
 void scheduler::StoreCheckpoints(base::time_point aNow)
 {
   std::map<job_record*, double> unsaved;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -132,8 +132,9 @@
   }
   if (hasChanged && mState != worker_state::absent) {
     mState = aHeartbeat.mState;
-    base::Log("side")->info("worker-state worker={} state={}", aHeartbeat.mWorker,
-                            base::Name(mState));
+    base::Log("side")->info(
+      "worker-state worker={} state={} time_left_ms={}", aHeartbeat.mWorker, base::Name(mState),
+      aHeartbeat.mTimeLeft ? std::to_string(aHeartbeat.mTimeLeft->count()) : "unknown");
     RequestReport();
   }
 }
@@ -329,6 +330,9 @@
     report.mService = mHeartbeat->mService;
     report.mCapacity = mHeartbeat->mCapacity;
     report.mLabels = mHeartbeat->mLabels;
+    if (mHeartbeat->mTimeLeft) {
+      report.mTimeLeft = std::max(milliseconds{ 0 }, *mHeartbeat->mTimeLeft - (now - mHeartbeatAt));
+    }
   }
   report.mHasRunLists = mHasRunLists && mState != worker_state::absent;
   if (mHasRunLists) {
--- a/source/platform/deployment_settings.cpp
+++ b/source/platform/deployment_settings.cpp
@@ -39,6 +39,7 @@
 void ReadBounds(json_reader& aBounds, deployment_settings& aSettings)
 {
   aSettings.mMaximumLease = Milliseconds(aBounds, "hold_max_ms", aSettings.mMaximumLease);
+  aSettings.mStopTime = Milliseconds(aBounds, "stop_grace_ms", aSettings.mStopTime);
   aSettings.mRevocationLimit = Milliseconds(aBounds, "revoke_ms", aSettings.mRevocationLimit);
   aSettings.mTerminationGracePeriod =
     Seconds(aBounds, "grace_s", aSettings.mTerminationGracePeriod);
--- a/source/platform/tests/wire_test.cpp
+++ b/source/platform/tests/wire_test.cpp
@@ -52,6 +52,27 @@
 
 BOOST_AUTO_TEST_SUITE(wire_test)
 
+// Guards against a worker that is emptied, or a heartbeat that is refused, because of an unusable
+// notice of departure.
+BOOST_AUTO_TEST_CASE(the_time_left_of_a_draining_worker_is_read_if_usable)
+{
+  auto const timeLeft = [](std::string const& aState, base::json const& aValue) {
+    auto body = base::json::parse(kHeartbeat);
+    body["state"] = aState;
+    body["remaining_ms"] = aValue;
+    auto const parsed = base::Capture([&] { return ParseHeartbeat("w", body.dump()); });
+    BOOST_REQUIRE(base::Succeeded(parsed));
+    return std::get<0>(parsed).mTimeLeft;
+  };
+  BOOST_TEST((timeLeft("draining", 1500) == base::milliseconds{ 1500 }));
+  BOOST_TEST((timeLeft("draining", 0) == base::milliseconds{ 0 }));
+  for (base::json const& unusable : { base::json{}, base::json{ -1 }, base::json{ 1e300 },
+                                      base::json{ "1500" }, base::json{ 90'000'000 } }) {
+    BOOST_TEST(!timeLeft("draining", unusable).has_value());
+  }
+  BOOST_TEST(!timeLeft("ready", 1500).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(heartbeats_are_decoded_completely_or_refused)
 {
   auto const parse = [](std::string const& aBody) {
--- a/source/platform/worker_client.cpp
+++ b/source/platform/worker_client.cpp
@@ -15,6 +15,8 @@
 constexpr base::milliseconds kConnectTimeout{ 400 };
 constexpr std::size_t kMaximumConnections = 12;
 constexpr std::size_t kMaximumLabels = 64;
+/// A longer notice is taken for an error.
+constexpr base::milliseconds kLongestTimeLeft{ std::chrono::hours{ 24 } };
 
 net::http_request WorkerRequest(std::string aTarget, std::string const& aWorker,
                                 base::json const& aBody)
@@ -36,6 +38,20 @@
   return decoded;
 }
 
+/// Only the announced departure depends on the time left, so an unusable value does not invalidate
+/// the heartbeat.
+std::optional<base::milliseconds> DecodeTimeLeft(base::json const& aValue)
+{
+  if (!aValue.is_number()) {
+    return std::nullopt;
+  }
+  auto const timeLeft = aValue.get<double>();
+  if (!(timeLeft >= 0) || timeLeft > static_cast<double>(kLongestTimeLeft.count())) {
+    return std::nullopt;
+  }
+  return base::milliseconds{ static_cast<std::int64_t>(timeLeft) };
+}
+
 /// [task, run, checkpoint, percent, load]; the last one only where tasks share a worker.
 std::optional<dispatch::listed_run> DecodeRunning(base::json const& aEntry)
 {
@@ -121,6 +137,7 @@
   auto const state = reader.RequiredText("state");
   if (state == "draining") {
     heartbeat.mState = dispatch::worker_state::draining;
+    heartbeat.mTimeLeft = DecodeTimeLeft(reader.Member("remaining_ms"));
   } else if (state != "ready") {
     reader.Reject("state is neither ready nor draining");
   }
--- a/source/platform/worker_client.h
+++ b/source/platform/worker_client.h
@@ -23,6 +23,9 @@
   dispatch::resources mCapacity{};
   std::vector<std::string> mLabels{};
   std::int64_t mClockMs = 0;
+  /// Shortest time until a draining worker ends, from the moment of the heartbeat; absent if the
+  /// worker does not state a usable one.
+  std::optional<base::milliseconds> mTimeLeft{};
 };
 
 base::result<worker_heartbeat> ParseHeartbeat(std::string const& aWorker, std::string const& aBody);
