Dispatch: Give urgent and last attempts no worker that fails tasks at once

Several workers failed all tasks within 100 ms; both attempts of a gang met one of them, although tasks of another job had just failed there, since a job that fails on a second worker did not count against that one. Ruled out: the jobs' own faults, which show 0.8 s after the start at the earliest. Change: a failure right after the start makes a worker suspect until a task succeeds, as does the end of a quarantine, and two losses within 12 s for a worker that goes down and up by turns. It receives one task at a time, of groups that can afford a failure; gangs, urgent groups and last attempts avoid it if the others suffice. At most 34% of the workers are quarantined or suspect together. Result: job_record_test, placement_test, four new cases.

--- a/source/dispatch/failure_history.h
+++ b/source/dispatch/failure_history.h
@@ -25,6 +25,17 @@
                                [&](std::string const& aOther) { return aOther == aWorker; });
   }
 
+  /// A job that fails right after its start on this many workers makes no further worker suspect.
+  static constexpr std::size_t kSuspectsPerJob = 3;
+
+  /// Whether a failure right after the start speaks against the worker.
+  bool IsWorkerSuspect(std::string const& aJob, std::string const& aWorker) const
+  {
+    auto const found = mWorkers.find(aJob);
+    return found == mWorkers.end() || found->second.contains(aWorker) ||
+           found->second.size() < kSuspectsPerJob;
+  }
+
   void RemoveJob(std::string const& aJob) { mWorkers.erase(aJob); }
 
 private:
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -162,6 +162,13 @@
         all = std::move(kept);
       }
     };
+    // A gang fails with any of its members, so it runs no trial on a suspect worker either.
+    auto const avoidsSuspects =
+      aGroup.mPriority == 0 || aGroup.mIsLastAttempt || aGroup.mShape->mIsGang;
+    keepIfSufficient([&](std::size_t aIndex) {
+      auto const& worker = mWorkers[aIndex];
+      return !worker.mIsSuspect || (!avoidsSuspects && !worker.mHasRuns);
+    });
     if (!aGroup.mShape->mDataRack.empty()) {
       keepIfSufficient(
         [&](std::size_t aIndex) { return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack; });
@@ -219,7 +226,8 @@
                          aFree[aIndex].mMillicores };
     };
     for (auto const index : aMembers) {
-      if (!aFree[index].Covers(ReservedDemand(shape)) ||
+      auto const isOnTrial = mWorkers[index].mIsSuspect && CountAt(aPlaced, index) > 0;
+      if (isOnTrial || !aFree[index].Covers(ReservedDemand(shape)) ||
           RunningCount(aGroup, index) + CountAt(aPlaced, index) >= limit) {
         continue;
       }
@@ -274,6 +282,7 @@
   {
     mFree[aWorker] -= ReservedDemand(*aGroup.mShape);
     mFreeAfterStops[aWorker] -= ReservedDemand(*aGroup.mShape);
+    mWorkers[aWorker].mHasRuns = true;
     mWorkers[aWorker].mHasServing =
       mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
     mWorkers[aWorker].mHasBestEffort =
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -25,6 +25,10 @@
   bool mHasBestEffort = false;
   /// False for a worker that drains, is evacuated, does not answer or is quarantined.
   bool mAcceptsStarts = true;
+  /// Whether the worker is to prove itself: it receives one task at a time, and only of groups that
+  /// can afford a failure.
+  bool mIsSuspect = false;
+  bool mHasRuns = false;
 };
 
 /// Waiting tasks of one step: a gang, which is placed as a whole, or tasks that start
@@ -52,6 +56,8 @@
   std::map<std::string, std::uint32_t> mRunningOn{};
   /// Workers on which its tasks failed earlier, avoided if others can run the group.
   std::vector<std::string> mFailedOn{};
+  /// Whether one more failure ends the job.
+  bool mIsLastAttempt = false;
   /// Workers with a permit for the step; nullopt if the queue uses no advice.
   std::optional<std::vector<std::string>> mAllowed{};
 };
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -62,9 +62,8 @@
 /// discarded work is done again later, while other jobs wait for it.
 constexpr double kPreemptionBudgetShare = 0.5;
 
-/// A quarantined worker still accepts starts if more than this share of the workers would be
-/// quarantined otherwise.
-constexpr double kMaximumQuarantinedShare = 0.34;
+/// At most this share of the workers is quarantined or suspect; the others are used as usual.
+constexpr double kMaximumShareSetAside = 0.34;
 
 } // namespace
 
@@ -85,7 +84,7 @@
 {
   std::vector<worker_snapshot> snapshots;
   std::map<std::string, std::size_t> index;
-  std::size_t quarantined = 0;
+  std::size_t setAside = 0;
   for (auto const& [node, session] : mSessions) {
     if (!session->mHasReport) {
       continue;
@@ -100,11 +99,13 @@
     snapshot.mAcceptsStarts = session->mLink && report.mState == worker_state::ready &&
                               aNow >= session->mStartsPausedUntil &&
                               !mOptions.mReplica.Evacuations().contains(report.mDomain);
-    if (snapshot.mAcceptsStarts && session->mHealth.IsQuarantined(aNow) &&
-        static_cast<double>(quarantined + 1) <=
-          kMaximumQuarantinedShare * static_cast<double>(mSessions.size())) {
-      snapshot.mAcceptsStarts = false;
-      ++quarantined;
+    auto const isQuarantined = session->mHealth.IsQuarantined(aNow);
+    if (snapshot.mAcceptsStarts && (isQuarantined || session->mHealth.IsSuspect(aNow)) &&
+        static_cast<double>(setAside + 1) <=
+          kMaximumShareSetAside * static_cast<double>(mSessions.size())) {
+      snapshot.mAcceptsStarts = !isQuarantined;
+      snapshot.mIsSuspect = !isQuarantined;
+      ++setAside;
     }
     index[node] = snapshots.size();
     snapshots.push_back(std::move(snapshot));
@@ -116,6 +117,7 @@
     }
     auto& snapshot = snapshots[found->second];
     snapshot.mFree -= ReservedDemand(aJob.Step(aPosition));
+    snapshot.mHasRuns = true;
     snapshot.mHasServing = snapshot.mHasServing || aJob.Step(aPosition).mServingTarget.count() > 0;
     snapshot.mHasBestEffort = snapshot.mHasBestEffort || aJob.Step(aPosition).mIsBestEffort;
   });
@@ -193,11 +195,14 @@
         group.mAllowed = PermittedWorkers(StepName(aJob.Id(), { occurrence, step, 0 }), aNow);
       }
       bool isAnyActive = false;
+      auto const attempts = queue == nullptr ? 1U : queue->mMaximumAttempts;
       auto const& tasks = aJob.Tasks(occurrence, step);
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         auto const& task = tasks[index];
         if (task.mState.mStatus == task_status::waiting) {
           group.mIndexes.push_back(index);
+          auto const& counted = shape.mIsGang ? tasks.front() : task;
+          group.mIsLastAttempt = group.mIsLastAttempt || counted.mState.mFailures + 1 >= attempts;
           if (!task.mFailedOn.empty()) {
             group.mFailedOn.push_back(task.mFailedOn);
           }
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -135,7 +135,13 @@
 {
   aSession.mRecordedEnd = 0;
   aSession.mStoredEnd = 0;
-  aSession.mHealth = {};
+  // A worker that announced its departure is not lost.
+  if (aSession.mHasReport && aSession.mReport.mIncarnationStart != 0 &&
+      aSession.mReport.mState != worker_state::draining &&
+      aSession.mReport.mState != worker_state::gone) {
+    aSession.mHealth.Lost(base::Now());
+  }
+  aSession.mHealth.Replaced();
   aSession.mStopLimiter = {};
   aSession.mPace = {};
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
@@ -235,6 +241,11 @@
       if (mFailures.IndicatesWorkerFault(aJob.Id(), task.mState.mWorker)) {
         health.Failed(aEnd.mTask, now);
       }
+      if (task.mStartedAt != base::time_point{} &&
+          now - task.mStartedAt < worker_health::kEarlyFailure &&
+          mFailures.IsWorkerSuspect(aJob.Id(), task.mState.mWorker)) {
+        health.FailedEarly(now);
+      }
       mFailures.Failed(aJob.Id(), task.mState.mWorker);
       task.mFailedOn = task.mState.mWorker;
       RecordFailure(aJob, aPosition);
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -199,6 +199,63 @@
   BOOST_TEST(!health.IsQuarantined(At(20'001)));
 }
 
+// Guards against urgent jobs that fail for good: four workers of 51 failed all tasks within 100 ms,
+// and both attempts of an urgent gang met one of them, although tasks of another job had just
+// failed on several (further-grown, trouble-1, seed 11; ten urgent jobs on one day of the large
+// deployment).
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_tasks_at_once_is_suspect_until_a_success)
+{
+  worker_health health;
+  BOOST_TEST(!health.IsSuspect(At(0)));
+  health.FailedEarly(At(0));
+  BOOST_TEST(health.IsSuspect(At(1)));
+  BOOST_TEST(!health.IsQuarantined(At(1)));
+  health.Succeeded();
+  BOOST_TEST(!health.IsSuspect(At(2)));
+  // A quarantined worker has to prove itself afterwards.
+  health.Failed("job.0.0.1", At(10));
+  health.Failed("job.0.0.2", At(10));
+  auto const after = At(10) + worker_health::kQuarantineDuration;
+  BOOST_TEST(!health.IsQuarantined(after));
+  BOOST_TEST(health.IsSuspect(after));
+  BOOST_TEST(!health.IsSuspect(after + worker_health::kSuspicionDuration));
+}
+
+// Guards against jobs that fail everywhere and make all workers suspect.
+BOOST_AUTO_TEST_CASE(a_job_makes_only_a_few_workers_suspect)
+{
+  failure_history history;
+  for (auto const* const worker : { "w1", "w2", "w3" }) {
+    BOOST_TEST(history.IsWorkerSuspect("poison", worker));
+    history.Failed("poison", worker);
+  }
+  BOOST_TEST(!history.IsWorkerSuspect("poison", "w4"));
+  BOOST_TEST(history.IsWorkerSuspect("poison", "w3"));
+  BOOST_TEST(history.IsWorkerSuspect("other", "w4"));
+}
+
+// Guards against work that is lost again and again on a worker that goes down and up by turns: each
+// new incarnation looked sound.
+BOOST_AUTO_TEST_CASE(a_flapping_worker_is_suspect_until_a_success)
+{
+  worker_health health;
+  health.Lost(At(0));
+  health.Replaced();
+  BOOST_TEST(!health.IsSuspect(At(1)));
+  health.Lost(At(3000));
+  health.Replaced();
+  BOOST_TEST(health.IsSuspect(At(3001)));
+  health.Succeeded();
+  BOOST_TEST(!health.IsSuspect(At(3002)));
+  // Losses far apart are not flapping.
+  worker_health steady;
+  steady.Lost(At(0));
+  steady.Replaced();
+  steady.Lost(At(30'000));
+  steady.Replaced();
+  BOOST_TEST(!steady.IsSuspect(At(30'001)));
+}
+
 // Many submitted jobs fail on every worker. Guards against quarantining workers because of them.
 BOOST_AUTO_TEST_CASE(failures_on_several_workers_do_not_indicate_a_worker_fault)
 {
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -177,6 +177,36 @@
   BOOST_TEST(decision.mStops.front().mRun == 1U);
 }
 
+// Guards against urgent jobs and last attempts on a worker that fails tasks at once, and against
+// such a worker receiving many tasks because its resources are free again at once.
+BOOST_AUTO_TEST_CASE(a_suspect_worker_receives_single_tasks_that_can_afford_a_failure)
+{
+  auto suspect = Snapshot("suspect", "r1");
+  suspect.mIsSuspect = true;
+  auto const step = Step(8, 1, false);
+  auto const bulk = Group("bulk", step, 2);
+  auto const busy = Snapshot("busy", "r1", { 6'000, 200'000, 6 });
+  auto const startsOnSuspect = [](placement_decision const& aDecision) {
+    return std::ranges::count(aDecision.mStarts, "suspect", &placed_task::mWorker);
+  };
+  auto const decision = DecidePlacement({ suspect, busy }, { bulk }, {});
+  BOOST_TEST(startsOnSuspect(decision) == 1);
+  BOOST_TEST(decision.mStarts.size() == 7U);
+  auto occupied = suspect;
+  occupied.mHasRuns = true;
+  BOOST_TEST(startsOnSuspect(DecidePlacement({ occupied, busy }, { bulk }, {})) == 0);
+  auto last = bulk;
+  last.mIsLastAttempt = true;
+  BOOST_TEST(startsOnSuspect(DecidePlacement({ suspect, busy }, { last }, {})) == 0);
+  auto const pair = Step(2, 4, true);
+  BOOST_TEST(startsOnSuspect(DecidePlacement({ suspect, Snapshot("idle", "r1") },
+                                             { Group("urgent", pair, 0) }, {})) == 0);
+  // A gang that does not fit elsewhere is not kept waiting.
+  auto const whole = Step(2, 8, true);
+  BOOST_TEST(DecidePlacement({ suspect, Snapshot("idle", "r1") }, { Group("urgent", whole, 0) }, {})
+               .mStarts.size() == 2U);
+}
+
 // Guards against gangs that start partially and wait for members that no worker has resources for.
 BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all)
 {
--- a/source/dispatch/worker_health.h
+++ b/source/dispatch/worker_health.h
@@ -8,8 +8,10 @@
 
 namespace rattanpond::dispatch {
 
-/// Distinguishes a faulty worker from faulty jobs by the tasks that fail on it. Load pattern: a
-/// worker that fails tasks quickly has free resources again at once and receives even more tasks.
+/// Distinguishes a faulty worker from faulty jobs by the tasks that fail on it. Load patterns: a
+/// worker that fails tasks quickly has free resources again at once and receives even more tasks;
+/// several such workers at once use up the attempts of an urgent gang, one after the other; a
+/// worker that goes down and up by turns breaks what it receives in between.
 class worker_health
 {
 public:
@@ -21,6 +23,42 @@
   /// Time after which a quarantined worker is used again.
   static constexpr base::milliseconds kQuarantineDuration{ 6'000 };
 
+  /// A task that fails this soon after its start has hardly begun; a task's own faults show at any
+  /// time of its run.
+  static constexpr base::milliseconds kEarlyFailure{ 300 };
+  /// A worker stays suspect for this long after the last indication, unless a task succeeds.
+  static constexpr base::milliseconds kSuspicionDuration{ 12'000 };
+  /// Number of losses within kFailureWindow that make a returning worker suspect.
+  static constexpr std::size_t kLosses = 2;
+
+  /// A task has failed right after its start. The worker receives single tasks with attempts left
+  /// until one succeeds.
+  void FailedEarly(base::time_point aNow) { mSuspectUntil = aNow + kSuspicionDuration; }
+
+  /// The worker's incarnation was lost while it should have been available.
+  void Lost(base::time_point aNow)
+  {
+    mLosses.push_back(aNow);
+    while (mLosses.front() + kFailureWindow < aNow) {
+      mLosses.pop_front();
+    }
+    if (mLosses.size() >= kLosses) {
+      mSuspectUntil = aNow + kSuspicionDuration;
+    }
+  }
+
+  /// A new incarnation starts without the failures of the former one, but not without its losses.
+  void Replaced()
+  {
+    mFailures.clear();
+    mQuarantinedUntil = {};
+    if (mLosses.size() < kLosses) {
+      mSuspectUntil = {};
+    }
+  }
+
+  bool IsSuspect(base::time_point aNow) const { return aNow < mSuspectUntil; }
+
   void Failed(std::string const& aTask, base::time_point aNow)
   {
     mFailures.push_back({ aTask, aNow });
@@ -30,17 +68,18 @@
       tasks.insert(failure.mTask);
     }
     if (tasks.size() >= kDistinctTasks) {
-      mQuarantinedUntil = aNow + kQuarantineDuration;
+      Quarantine(aNow);
     }
   }
 
   /// A stalled run quarantines the worker at once: a job cannot stall by itself.
-  void Stalled(base::time_point aNow) { mQuarantinedUntil = aNow + kQuarantineDuration; }
+  void Stalled(base::time_point aNow) { Quarantine(aNow); }
 
   void Succeeded()
   {
     mFailures.clear();
     mQuarantinedUntil = {};
+    mSuspectUntil = {};
   }
 
   bool IsQuarantined(base::time_point aNow) const { return aNow < mQuarantinedUntil; }
@@ -52,6 +91,12 @@
     base::time_point mAt;
   };
 
+  void Quarantine(base::time_point aNow)
+  {
+    mQuarantinedUntil = aNow + kQuarantineDuration;
+    mSuspectUntil = mQuarantinedUntil + kSuspicionDuration;
+  }
+
   void RemoveExpiredFailures(base::time_point aNow)
   {
     while (!mFailures.empty() && mFailures.front().mAt + kFailureWindow < aNow) {
@@ -60,7 +105,9 @@
   }
 
   std::deque<failure> mFailures;
+  std::deque<base::time_point> mLosses;
   base::time_point mQuarantinedUntil{};
+  base::time_point mSuspectUntil{};
 };
 
 } // namespace rattanpond::dispatch
