Dispatch: Stop a gang at once when the start of a member is uncertain

One worker was down for a moment and reset the connection of its start; all three attempts of the start, and all four of the stop, were used up within milliseconds, and the other members were left to wait. Change: the other members are stopped with the uncertain one; attempts of an order are at least 100, 200 and 400 ms apart. Result: lost_worker_test and side_agent_test, a new case each.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -134,6 +134,9 @@
   void RecordFailure(job_record& aJob, task_position const& aPosition);
   void RequeueTask(job_record& aJob, task_position const& aPosition, std::string const& aReason);
   void OrderStop(job_record& aJob, task_position const& aPosition, std::string const& aReason);
+  /// Stops a run that may or may not have started, and the other members of its gang.
+  void StopUncertainStart(job_record& aJob, task_position const& aPosition,
+                          std::string const& aReason);
   void StopPartialGang(job_record& aJob, task_position const& aPosition);
   /// Visits all tasks with a run that may still be running on a worker.
   void ForEachActiveTask(
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -307,6 +307,19 @@
   }
 }
 
+void scheduler::StopUncertainStart(job_record& aJob, task_position const& aPosition,
+                                   std::string const& aReason)
+{
+  OrderStop(aJob, aPosition, aReason);
+  if (aJob.Step(aPosition).mIsGang) {
+    // The other members would hold their resources until they give up, and the gang starts again
+    // only once all of them have ended.
+    for (auto const& member : aJob.ActiveTasks(aPosition.mOccurrence, aPosition.mStep)) {
+      OrderStop(aJob, member, "the start of another member is uncertain");
+    }
+  }
+}
+
 void scheduler::OrderStop(job_record& aJob, task_position const& aPosition,
                           std::string const& aReason)
 {
@@ -403,7 +416,7 @@
       case order_outcome::unknown:
         // A stop without an answer is sent again only after its timeout: for an unreachable worker,
         // each result would arrive within milliseconds and trigger the next stop.
-        OrderStop(*activeRun.mJob, activeRun.mPosition, "no answer to the start order");
+        StopUncertainStart(*activeRun.mJob, activeRun.mPosition, "no answer to the start order");
         break;
     }
   }
@@ -748,7 +761,7 @@
 {
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mRunStatus == run_status::starting && aNow - aTask.mRunStatusSince > kStartTimeout) {
-      OrderStop(aJob, aPosition, "no result of the start order");
+      StopUncertainStart(aJob, aPosition, "no result of the start order");
     } else if (aTask.mRunStatus == run_status::stopping &&
                aNow - aTask.mRunStatusSince > kStopTimeout) {
       aTask.mRunStatus = run_status::unconfirmed;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds kSchedulerTimeout{ 3000 };
 constexpr int kStartAttempts = 3;
 constexpr int kStopAttempts = 4;
+/// Shortest time between two attempts of an order; doubled with each attempt. A worker that refuses
+/// or resets connections for a moment fails all attempts within milliseconds otherwise.
+constexpr milliseconds kOrderRetryDelay{ 100 };
 /// Maximum number of orders that are carried out at the same time.
 constexpr std::size_t kMaximumConcurrentOrders = 4;
 /// One in this many unreadable heartbeats is logged.
@@ -471,6 +474,14 @@
   co_return order_result{};
 }
 
+awaitable<void> side_agent::WaitForRetry(int aAttempt, base::time_point aSentAt)
+{
+  auto const due = aSentAt + kOrderRetryDelay * (1 << aAttempt);
+  if (auto const now = base::Now(); now < due) {
+    co_await net::Sleep(due - now);
+  }
+}
+
 awaitable<order_result> side_agent::ExecuteStart(start_order aOrder, base::time_point aReportSentAt)
 {
   order_result result{ .mTask = aOrder.mTask, .mRun = aOrder.mRun };
@@ -503,6 +514,7 @@
     if (answer.mOutcome != order_outcome::unknown) {
       break;
     }
+    co_await WaitForRetry(attempt, sentAt);
   }
   base::Log("side")->info("start task={} run={} term={} basis_age_ms={} outcome={} detail=\"{}\"",
                           aOrder.mTask, aOrder.mRun, mTerm, (base::Now() - aReportSentAt).count(),
@@ -514,12 +526,14 @@
 {
   order_result result{ .mTask = aOrder.mTask, .mRun = aOrder.mRun };
   for (int attempt = 0; attempt < kStopAttempts && mHeartbeat; ++attempt) {
+    auto const sentAt = base::Now();
     auto const answer = co_await mWorker->Stop(mHeartbeat->mWorker, aOrder, mTerm);
     result.mOutcome = answer.mOutcome;
     result.mDetail = answer.mDetail;
-    if (answer.mOutcome != order_outcome::unknown) {
+    if (answer.mOutcome != order_outcome::unknown || attempt + 1 == kStopAttempts) {
       break;
     }
+    co_await WaitForRetry(attempt, sentAt);
   }
   base::Log("side")->info("stop task={} run={} term={} outcome={} detail=\"{}\"", aOrder.mTask,
                           aOrder.mRun, mTerm, base::Name(result.mOutcome), result.mDetail);
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -68,6 +68,8 @@
   boost::asio::awaitable<order_result> ExecuteOrder(pending_order aOrder);
   boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder,
                                                     base::time_point aReportSentAt);
+  /// Waits until the next attempt of an order is due.
+  static boost::asio::awaitable<void> WaitForRetry(int aAttempt, base::time_point aSentAt);
   boost::asio::awaitable<order_result> ExecuteStop(stop_order aOrder);
   void HandleFrame(net::link_ptr const& aLink, net::frame const& aFrame);
   void HandleOrders(net::link_ptr const& aLink, side_orders aOrders);
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -75,6 +75,8 @@
     bool mIsUnresponsive = false;
     /// The connection of a stop is closed at once, and the stop is not carried out.
     bool mDropsStops = false;
+    /// All calls but run lists are closed without an answer, and are not carried out.
+    bool mDropsOrders = false;
     /// Starts that do not carry this ticket are refused.
     std::string mTicket{};
   };
@@ -279,7 +281,7 @@
     }
     auto const isStop = aRequest.mTarget == "/api/run-stop";
     mStopCalls += isStop ? 1 : 0;
-    if (isStop && mFaults.mDropsStops) {
+    if ((isStop && mFaults.mDropsStops) || (isOrder && mFaults.mDropsOrders)) {
       co_return lost;
     }
     if (aRequest.mHeaders.Value("X-Expect-Instance") != mId) {
--- a/source/platform/tests/lost_worker_test.cpp
+++ b/source/platform/tests/lost_worker_test.cpp
@@ -80,6 +80,29 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a gang that holds its workers until its members give up: one worker went down for
+// a moment and reset the connection of its start (further-grown, trouble-3, seed 12: the members
+// waited 4 s, and the urgent job was late).
+BOOST_AUTO_TEST_CASE(a_gang_with_an_uncertain_start_is_stopped_at_once)
+{
+  test_cluster cluster{ 1, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 60'000 };
+    side->mWorker.mProgressTime = milliseconds{ 60'000 };
+  }
+  cluster.mSides[0]->mWorker.mFaults.mDropsOrders = true;
+  auto const id = JobId(44);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, GangBody(2)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 1; }));
+  // Well within the 3 s after which members give up.
+  BOOST_TEST(
+    cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 0; }, milliseconds{ 1500 }));
+  cluster.mSides[0]->mWorker.mFaults.mDropsOrders = false;
+  BOOST_TEST(
+    cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 2; }, milliseconds{ 3000 }));
+  RequireNoFaults(cluster);
+}
+
 // Guards against a second run beside one that still works: only the side was restarted, and its
 // worker runs on under its lease.
 BOOST_AUTO_TEST_CASE(a_restarted_side_keeps_the_run_of_a_living_worker)
--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -123,6 +123,33 @@
   }
 }
 
+// Guards against orders whose attempts are used up within milliseconds: the worker resets
+// connections for a moment (workers that go down and up by turns).
+BOOST_AUTO_TEST_CASE(a_stop_outlasts_a_short_absence_of_the_worker)
+{
+  linked_side linked;
+  auto& side = linked.mSide;
+  side.mWorker.mWork = milliseconds{ 60'000 };
+  auto const& reports = linked.mReports;
+  side.SendHeartbeat();
+  BOOST_REQUIRE(linked.RunUntil([&] { return !reports.empty() && reports.back().mHasRunLists; }));
+  side.mWorker.mFaults.mDropsStops = true;
+  linked.mLink->Send(dispatch::side_orders{ .mTerm = 1,
+                                            .mAnsweredReport = reports.back().mSequence,
+                                            .mWorker = reports.back().mWorker,
+                                            .mIncarnationStart = reports.back().mIncarnationStart,
+                                            .mStops = { { .mTask = "0000.0.0.0", .mRun = 1 } } });
+  linked.RunUntil([] { return false; }, milliseconds{ 500 });
+  side.mWorker.mFaults.mDropsStops = false;
+  auto const isStopped = [](dispatch::side_report const& aReport) {
+    return std::ranges::any_of(aReport.mResults, [](dispatch::order_result const& aResult) {
+      return aResult.mOutcome == dispatch::order_outcome::stopped;
+    });
+  };
+  BOOST_TEST(
+    linked.RunUntil([&] { return std::ranges::any_of(reports, isStopped); }, milliseconds{ 1000 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
