Dispatch: Limit the rate at which fronts follow the rows of jobs

Change: a front that is not the scheduler sends its reads of the dispatch table at least 150 ms apart. Result: flow_test, a new case.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -25,6 +25,10 @@
 /// Limits the age of the configuration while the store is available.
 constexpr base::milliseconds kOperatorRowsWait{ 900 };
 constexpr base::milliseconds kReadTimeout{ 1000 };
+/// Shortest time between two reads of the dispatch table by a front that is not the scheduler. Load
+/// pattern: every transaction ends the long poll of every front, so that reads grow with the
+/// product of fronts and jobs. Callers may see a change of their job this much later.
+constexpr base::milliseconds kFollowerReadInterval{ 150 };
 constexpr int kMinimumRetryDelayMs = 60;
 constexpr int kMaximumRetryDelayMs = 250;
 
@@ -125,7 +129,14 @@
   auto const isDispatchTable = &aTable == &mDispatchRows;
   while (true) {
     auto const isFullRead = !aTable.mIsLoaded;
+    if (isDispatchTable && !isFullRead && !mOptions.mIsWriter()) {
+      if (auto const wait = aTable.mReadAt + kFollowerReadInterval - base::Now();
+          wait > base::milliseconds{ 0 }) {
+        co_await net::Sleep(wait);
+      }
+    }
     auto const sentAt = base::Now();
+    aTable.mReadAt = sentAt;
     platform::read_result read;
     if (isFullRead) {
       read = co_await mOptions.mStore.ReadTable(aTable.mName, kReadTimeout);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -119,7 +119,8 @@
     base::milliseconds mWait;
     bool mIsLoaded = false;
     std::uint64_t mVersion = 0;
-    /// Time at which the last successful read was sent.
+    /// Time at which the last read, and the last successful one, was sent.
+    base::time_point mReadAt{};
     base::time_point mConfirmedAt{};
   };
 
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -633,7 +633,7 @@
   if (overdue > 0 && aNow - mOverdueLoggedAt >= kOverdueLogInterval) {
     mOverdueLoggedAt = aNow;
   }
-  mOptions.mMetrics.Gauge("rattanpond_runs_with_overdue_end").Set(overdue);
+  mOptions.mMetrics.Gauge("rattanpond_runs_with_overdue_end").Set(static_cast<double>(overdue));
 }
 
 void scheduler::StopStalledRuns(base::time_point aNow)
--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -34,6 +34,8 @@
   struct client_endpoint
   {
     behavior mBehavior = behavior::serves;
+    /// Polls of the dispatch table.
+    std::size_t mDispatchPolls = 0;
     std::unique_ptr<net::http_server> mServer;
   };
 
@@ -134,6 +136,10 @@
   boost::asio::awaitable<net::http_response> Handle(client_endpoint& aEndpoint,
                                                     net::http_request aRequest)
   {
+    if (aRequest.mTarget.starts_with("/api/rows-feed") &&
+        aRequest.mTarget.find(dispatch::kDispatchTable) != std::string::npos) {
+      ++aEndpoint.mDispatchPolls;
+    }
     auto const behavior = aEndpoint.mBehavior;
     if (behavior == behavior::refuses) {
       co_return net::JsonResponse(503, base::json::object());
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -457,6 +457,25 @@
                               milliseconds{ 12'000 }));
 }
 
+// Guards against reads that grow with the product of fronts and jobs: each transaction ended the
+// long poll of each of 35 fronts, 117,000 calls to the store on one day of the large deployment.
+BOOST_AUTO_TEST_CASE(a_front_that_is_not_the_scheduler_reads_at_a_limited_rate)
+{
+  test_cluster cluster{ 2, 1 };
+  auto const& standby = cluster.Standby().mStoreEndpoint;
+  auto const before = standby.mDispatchPolls;
+  auto const beganAt = base::Now();
+  constexpr int kWrites = 100;
+  for (int write = 0; write < kWrites; ++write) {
+    cluster.mStore.Put(dispatch::kDispatchTable, "unrelated", std::to_string(write));
+    cluster.RunFor(milliseconds{ 10 });
+  }
+  constexpr milliseconds kInterval{ 150 };
+  auto const intervals = static_cast<std::size_t>((base::Now() - beganAt) / kInterval);
+  BOOST_TEST(standby.mDispatchPolls - before <= intervals + 2);
+  BOOST_TEST(standby.mDispatchPolls - before >= intervals / 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
