Dispatch: Carry out no start of a former scheduler under the next term

Orders that waited in a side behind slow calls were carried out after the term had changed, and left with the fence of the new term, so that the worker could not refuse them. Change: an order keeps the term of its scheduler as its fence; a start is refused by the side once the term has changed. Result: side_agent_test, a new case.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -401,13 +401,14 @@
   }
   mAcknowledged = std::max(mAcknowledged, aOrders.mAcknowledged);
   for (auto& stop : aOrders.mStops) {
-    mOrders.push_back({ .mStop = std::move(stop), .mReportSentAt = reportSentAt });
+    mOrders.push_back({ .mTerm = mTerm, .mStop = std::move(stop), .mReportSentAt = reportSentAt });
   }
   for (auto& start : aOrders.mStarts) {
-    mOrders.push_back({ .mStart = std::move(start), .mReportSentAt = reportSentAt });
+    mOrders.push_back(
+      { .mTerm = mTerm, .mStart = std::move(start), .mReportSentAt = reportSentAt });
   }
   for (auto& pace : aOrders.mPaces) {
-    mOrders.push_back({ .mPace = std::move(pace), .mReportSentAt = reportSentAt });
+    mOrders.push_back({ .mTerm = mTerm, .mPace = std::move(pace), .mReportSentAt = reportSentAt });
   }
   if (!mOrders.empty()) {
     mOrderTimer.cancel();
@@ -465,7 +466,7 @@
 awaitable<order_result> side_agent::ExecuteOrder(pending_order aOrder)
 {
   if (aOrder.mStart) {
-    co_return co_await ExecuteStart(std::move(*aOrder.mStart), aOrder.mReportSentAt);
+    co_return co_await ExecuteStart(std::move(*aOrder.mStart), aOrder.mTerm, aOrder.mReportSentAt);
   }
   if (aOrder.mStop) {
     co_return co_await ExecuteStop(std::move(*aOrder.mStop));
@@ -482,7 +483,8 @@
   }
 }
 
-awaitable<order_result> side_agent::ExecuteStart(start_order aOrder, base::time_point aReportSentAt)
+awaitable<order_result> side_agent::ExecuteStart(start_order aOrder, std::uint64_t aTerm,
+                                                 base::time_point aReportSentAt)
 {
   order_result result{ .mTask = aOrder.mTask, .mRun = aOrder.mRun };
   auto const worker = mHeartbeat->mWorker;
@@ -491,11 +493,12 @@
     // Checked immediately before each call, as the process may have been suspended.
     auto const age = base::Now() - aReportSentAt;
     if (age > kMaximumOrderAge || mState != worker_state::ready || !mHeartbeat ||
-        mHeartbeat->mIncarnationStart != incarnationStart) {
+        mHeartbeat->mIncarnationStart != incarnationStart || mTerm != aTerm) {
       if (attempt == 0) {
         result.mOutcome = order_outcome::not_started;
-        result.mDetail =
-          age > kMaximumOrderAge ? "the order is too old" : "the worker is not ready";
+        result.mDetail = mTerm != aTerm           ? "another scheduler has taken over"
+                         : age > kMaximumOrderAge ? "the order is too old"
+                                                  : "the worker is not ready";
       }
       break;
     }
@@ -503,7 +506,7 @@
     mLease.mLatestDeadlineMs = std::max(mLease.mLatestDeadlineMs, deadline);
     auto const sentAt = base::Now();
     auto const answer =
-      co_await mWorker->Start(worker, aOrder, { .mFence = mTerm, .mDeadlineMs = deadline });
+      co_await mWorker->Start(worker, aOrder, { .mFence = aTerm, .mDeadlineMs = deadline });
     mOptions.mMetrics.Histogram("rattanpond_start_call_seconds")
       .Record(std::chrono::duration<double>(base::Now() - sentAt).count());
     result.mDetail = answer.mDetail;
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -54,6 +54,8 @@
   /// An order that has not been carried out; exactly one of the first three members is set.
   struct pending_order
   {
+    /// Term of the scheduler that sent the order; the fence of its calls.
+    std::uint64_t mTerm = 0;
     std::optional<start_order> mStart{};
     std::optional<stop_order> mStop{};
     std::optional<pace_order> mPace{};
@@ -66,7 +68,7 @@
   boost::asio::awaitable<void> ReadRunListsForResults();
   boost::asio::awaitable<bool> ReadRunLists(base::milliseconds aWait);
   boost::asio::awaitable<order_result> ExecuteOrder(pending_order aOrder);
-  boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder,
+  boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder, std::uint64_t aTerm,
                                                     base::time_point aReportSentAt);
   /// Waits until the next attempt of an order is due.
   static boost::asio::awaitable<void> WaitForRetry(int aAttempt, base::time_point aSentAt);
--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -150,6 +150,42 @@
     linked.RunUntil([&] { return std::ranges::any_of(reports, isStopped); }, milliseconds{ 1000 }));
 }
 
+// Guards against orders of a former scheduler that are carried out in the name of the next one:
+// they waited behind slow calls while the term changed, and left with the fence of the new term.
+BOOST_AUTO_TEST_CASE(starts_of_a_former_scheduler_are_not_carried_out)
+{
+  linked_side linked;
+  auto& side = linked.mSide;
+  side.mWorker.mWork = milliseconds{ 60'000 };
+  auto const& reports = linked.mReports;
+  side.SendHeartbeat();
+  BOOST_REQUIRE(linked.RunUntil([&] { return !reports.empty() && reports.back().mHasRunLists; }));
+  // Four slow starts occupy all calls; the fifth order waits behind them.
+  side.mWorker.mFaults.mSlowTask = "0000.0.0.";
+  side.mWorker.mFaults.mAnswerDelay = milliseconds{ 350 };
+  auto const order = [&](std::uint64_t aTerm) {
+    return dispatch::side_orders{ .mTerm = aTerm,
+                                  .mAnsweredReport = reports.back().mSequence,
+                                  .mWorker = reports.back().mWorker,
+                                  .mIncarnationStart = reports.back().mIncarnationStart };
+  };
+  auto starts = order(1);
+  for (int task = 0; task < 4; ++task) {
+    starts.mStarts.push_back({ .mTask = "0000.0.0." + std::to_string(task), .mRun = 1 });
+  }
+  std::string const waiting = "1111.0.0.0";
+  starts.mStarts.push_back({ .mTask = waiting, .mRun = 1 });
+  linked.mLink->Send(starts);
+  BOOST_REQUIRE(linked.RunUntil([&] { return linked.mRecorder.ActiveRuns() == 4; }));
+  linked.mLink->Send(order(2));
+  auto const resultOf = [&](dispatch::side_report const& aReport) {
+    return std::ranges::find(aReport.mResults, waiting, &dispatch::order_result::mTask) !=
+           aReport.mResults.end();
+  };
+  BOOST_REQUIRE(linked.RunUntil([&] { return std::ranges::any_of(reports, resultOf); }));
+  BOOST_TEST(linked.mRecorder.Starts(waiting) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
