Dispatch: Stop a vanished run before its task starts again

A run that had been listed for long and was missing from one list was over at once, without a stop, if its start was old; lists can lack an entry by mistake. A claim's placement also returned a result that was always the same. Change: the bound for unlisted runs counts from the time since which the end is unknown, so that stops come first.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -95,9 +95,12 @@
       auto claim = std::move(found->second);
       mClaims.erase(found);
       Unreserve(aGroup, claim.mWorkers);
-      if (PlaceClaimed(aGroup, claim)) {
-        return;
+      if (aGroup.mShape->mIsGang) {
+        PlaceClaimedGang(aGroup, claim);
+      } else {
+        PlaceClaimedTasks(aGroup, claim);
       }
+      return;
     }
     if (aGroup.mShape->mIsGang) {
       PlaceGang(aGroup);
@@ -321,29 +324,23 @@
     mDecision.mClaims.push_back(std::move(claim));
   }
 
-  /// Starts the group if its claimed workers, or any others, are free now; otherwise keeps the
-  /// claim. Returns false if the group has to be placed without the claim.
-  bool PlaceClaimed(waiting_group const& aGroup, claimed_workers const& aClaim)
+  /// Starts the gang if its claimed workers, or any others, are free now; otherwise it keeps
+  /// waiting for the claimed ones and stops no further runs.
+  void PlaceClaimedGang(waiting_group const& aGroup, claimed_workers const& aClaim)
   {
-    if (!aGroup.mShape->mIsGang) {
-      return PlaceClaimedTasks(aGroup, aClaim);
-    }
-    auto const fit = Fit(aGroup, aClaim.mWorkers, mFree);
-    if (!fit && StartGang(aGroup)) {
-      return true;
-    }
-    if (!fit) {
+    if (auto const fit = Fit(aGroup, aClaim.mWorkers, mFree)) {
+      for (std::size_t task = 0; task < fit->size(); ++task) {
+        Start(aGroup, task, (*fit)[task]);
+      }
+    } else if (!StartGang(aGroup)) {
       Reserve(aGroup, aClaim.mWorkers);
       RecordClaim(aGroup, aClaim.mWorkers, aClaim.mSince);
-      return true;
-    }
-    for (std::size_t task = 0; task < fit->size(); ++task) {
-      Start(aGroup, task, (*fit)[task]);
     }
-    return true;
   }
 
-  bool PlaceClaimedTasks(waiting_group const& aGroup, claimed_workers const& aClaim)
+  /// Starts tasks on claimed workers that are free now, then on others; the rest keeps waiting for
+  /// the claimed ones.
+  void PlaceClaimedTasks(waiting_group const& aGroup, claimed_workers const& aClaim)
   {
     auto const candidates = Candidates(aGroup);
     auto claimed = aClaim.mWorkers;
@@ -370,7 +367,6 @@
       Reserve(aGroup, claimed);
       RecordClaim(aGroup, claimed, aClaim.mSince);
     }
-    return true;
   }
 
   std::int64_t FreeAccelerators(positions const& aMembers) const
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -483,9 +483,11 @@
         aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
       return;
     }
-    // A worker may leave stops unanswered for good, but it refuses a start after its deadline.
+    // A worker may leave stops unanswered for good, but it refuses a start after its deadline. A
+    // run that was listed before is stopped first, as these lists may lack it by mistake.
     auto const orderedAt = aTask.mStartedAt == base::time_point{} ? mHolderSince : aTask.mStartedAt;
-    if (now - orderedAt > startBound) {
+    if (aTask.mEndUnknownSince != base::time_point{} &&
+        now - std::max(orderedAt, aTask.mEndUnknownSince) > startBound) {
       aTask.mFailedOn = aTask.mState.mWorker;
       RequeueTask(aJob, aPosition, "not listed, and its start can no longer take effect");
     } else if (aTask.mRunStatus == run_status::unconfirmed ||
