Dispatch: Say that a job does not exist only after a later read

Cause: a cancellation of a job that another front had just accepted was answered with "no such job", and the job ran on (flow_test/a_cancelled_job_stops_and_never_starts_again, sanitizer build beside load, once). Change: a front that does not know the job reads its row from the store first; 410 only if that read finds none, 503 if the store does not answer. A front shows its own cancellation from its answer on.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -24,9 +24,6 @@
 /// admits no key, beyond the second one it reports that it is not ready for new connections.
 constexpr double kAdmissionShare = 0.8;
 constexpr double kReadinessShare = 0.4;
-/// "No such job" is answered only if the job rows were confirmed within this time, which is well
-/// under the visibility limit.
-constexpr milliseconds kMaximumJobsAge{ 2000 };
 constexpr milliseconds kAttemptTimeout{ 700 };
 constexpr milliseconds kRetryDelay{ 80 };
 /// Part of the caller's deadline that is reserved for the transfer of the answer.
@@ -125,11 +122,6 @@
   return base::Now() - mOptions.mReplica.OperatorRowsConfirmedAt();
 }
 
-bool caller_api::AreJobsConfirmed() const
-{
-  return base::Now() - mOptions.mReplica.JobsConfirmedAt() < kMaximumJobsAge;
-}
-
 bool caller_api::IsReady() const
 {
   return !mIsShuttingDown && mOptions.mReplica.IsLoaded() &&
@@ -223,16 +215,21 @@
   if (!platform::IsJobId(call.mPathRemainder)) {
     co_return Plain(400, "the path does not end with a job identifier");
   }
-  if (method == "GET") {
-    co_return Status(call);
-  }
   if (method == "POST") {
     co_return co_await Submit(std::move(aRequest), std::move(call));
   }
-  if (method == "DELETE") {
-    co_return co_await Cancel(std::move(aRequest), std::move(call));
+  if (method != "GET" && method != "DELETE") {
+    co_return Plain(405, "the method must be GET, POST or DELETE");
+  }
+  if (mOptions.mReplica.FindJob(call.mPathRemainder) == nullptr) {
+    if (auto refusal = co_await LookUpJob(call.mPathRemainder, Deadline(aRequest, base::Now()))) {
+      co_return std::move(*refusal);
+    }
   }
-  co_return Plain(405, "the method must be GET, POST or DELETE");
+  if (method == "GET") {
+    co_return Status(call);
+  }
+  co_return co_await Cancel(std::move(aRequest), std::move(call));
 }
 
 awaitable<http_response> caller_api::Submit(http_request aRequest, admitted_call aCall)
@@ -312,9 +309,6 @@
   auto const id = aCall.mPathRemainder;
   auto const started = base::Now();
   auto const deadline = Deadline(aRequest, started);
-  if (mOptions.mReplica.FindJob(id) == nullptr) {
-    co_return UnknownJob();
-  }
   while (true) {
     if (mOptions.mReplica.CancellationVersion(id) != 0) {
       co_return Plain(200, "cancelled");
@@ -325,6 +319,12 @@
     if (result.mOutcome == commit_outcome::committed ||
         result.mOutcome == commit_outcome::conflict) {
       mOptions.mReplica.Apply(result.mCurrent);
+      if (result.mOutcome == commit_outcome::committed) {
+        // This front shows the job as cancelled from its answer on.
+        mOptions.mReplica.Apply({ { .mTable = kDispatchTable,
+                                    .mKey = std::string{ kCancellationPrefix } + id,
+                                    .mVersion = result.mVersion } });
+      }
       base::Log("caller")->info("cancel job={} status=200 took_ms={}", id,
                                 (base::Now() - started).count());
       co_return Plain(200, "cancelled");
@@ -338,19 +338,30 @@
   }
 }
 
-http_response caller_api::UnknownJob() const
+awaitable<std::optional<http_response>> caller_api::LookUpJob(std::string aId,
+                                                              base::time_point aDeadline)
 {
-  return AreJobsConfirmed() ? Plain(410, "no such job") : Refusal(503, "the store is unavailable");
+  // Another front may have accepted the job since the last read of this one. Only a later read of
+  // the store shows that the job does not exist.
+  if (mOptions.mReplica.IsStoreAvailable()) {
+    auto const timeout = std::clamp(aDeadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
+    auto const read =
+      co_await mOptions.mStore.ReadRow(kDispatchTable, std::string{ kJobPrefix } + aId, timeout);
+    if (read.mOutcome == platform::read_outcome::answered) {
+      mOptions.mReplica.Apply(read.mRows);
+      if (mOptions.mReplica.FindJob(aId) == nullptr) {
+        co_return Plain(410, "no such job");
+      }
+      co_return std::nullopt;
+    }
+  }
+  co_return Refusal(503, "the store is unavailable");
 }
 
 http_response caller_api::Status(admitted_call const& aCall) const
 {
   auto const& id = aCall.mPathRemainder;
-  auto const* const job = mOptions.mReplica.FindJob(id);
-  if (job == nullptr) {
-    return UnknownJob();
-  }
-  auto phase = job->StoredPhase();
+  auto phase = mOptions.mReplica.FindJob(id)->StoredPhase();
   if (!IsFinal(phase) && mOptions.mReplica.CancellationVersion(id) != 0) {
     phase = job_phase::cancelled;
   }
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -54,10 +54,13 @@
                                                     admitted_call aCall);
   boost::asio::awaitable<net::http_response> Cancel(net::http_request aRequest,
                                                     admitted_call aCall);
-  net::http_response UnknownJob() const;
+  /// Looks for a job that the replica lacks in the store. Returns the answer to the caller if the
+  /// job does not exist or the store does not answer.
+  boost::asio::awaitable<std::optional<net::http_response>> LookUpJob(std::string aId,
+                                                                      base::time_point aDeadline);
   net::http_response Status(admitted_call const& aCall) const;
   net::http_response Pending(admitted_call const& aCall) const;
-  bool AreJobsConfirmed() const;
+
   base::milliseconds ConfigurationAge() const;
 
   base::milliseconds ConfirmationLimit(double aShare) const;
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -207,6 +207,17 @@
   co_return whole;
 }
 
+awaitable<read_result> row_store::ReadRow(std::string aTable, std::string aKey,
+                                          base::milliseconds aTimeout)
+{
+  bool hasMore = false;
+  auto row = co_await Read("/api/rows-get?table=" + net::PercentEncode(aTable) +
+                             "&part=&limit=1&from=" + net::PercentEncode(aKey),
+                           aTimeout, hasMore);
+  std::erase_if(row.mRows, [&](store_row const& aRow) { return aRow.mKey != aKey; });
+  co_return row;
+}
+
 awaitable<read_result> row_store::Follow(std::string aTable, std::uint64_t aAfter,
                                          base::milliseconds aWait)
 {
--- a/source/platform/row_store.h
+++ b/source/platform/row_store.h
@@ -89,6 +89,9 @@
                                                base::milliseconds aTimeout);
   /// Reads all rows of a table.
   boost::asio::awaitable<read_result> ReadTable(std::string aTable, base::milliseconds aTimeout);
+  /// Reads one row; the result has no row if there is none.
+  boost::asio::awaitable<read_result> ReadRow(std::string aTable, std::string aKey,
+                                              base::milliseconds aTimeout);
   /// Reads the rows that changed after a version, as soon as there are any or after aWait.
   boost::asio::awaitable<read_result> Follow(std::string aTable, std::uint64_t aAfter,
                                              base::milliseconds aWait);
--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -476,6 +476,28 @@
   BOOST_TEST(standby.mDispatchPolls - before >= intervals / 2);
 }
 
+// Guards against "no such job" for a job that another front has just accepted: a front that reads
+// the rows at a limited rate answered a cancellation so, and the job ran on (sanitizer build,
+// once).
+BOOST_AUTO_TEST_CASE(a_job_accepted_a_moment_ago_is_known_at_every_front)
+{
+  test_cluster cluster{ 2, 1 };
+  cluster.mSides[0]->mWorker.mWork = milliseconds{ 60'000 };
+  for (std::uint64_t job = 60; job < 65; ++job) {
+    auto const path = "/u/" + JobId(job);
+    BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(1, 1)) == 200U);
+    BOOST_TEST(cluster.Call(cluster.Standby(), "GET", path) == 200U);
+  }
+  for (std::uint64_t job = 65; job < 70; ++job) {
+    auto const path = "/u/" + JobId(job);
+    BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(1, 1)) == 200U);
+    BOOST_TEST(cluster.Call(cluster.Standby(), "DELETE", path) == 200U);
+    BOOST_TEST(cluster.State(path) == "cancelled");
+  }
+  BOOST_TEST(cluster.Call(cluster.Standby(), "GET", "/u/" + JobId(99)) == 410U);
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
