Tests: Use the type of the job numbers in a loop

Cause: the linter rejects the implicit conversion to int. Change: the loop variables are of type int.

--- a/source/platform/tests/flow_test.cpp
+++ b/source/platform/tests/flow_test.cpp
@@ -483,12 +483,12 @@
 {
   test_cluster cluster{ 2, 1 };
   cluster.mSides[0]->mWorker.mWork = milliseconds{ 60'000 };
-  for (std::uint64_t job = 60; job < 65; ++job) {
+  for (int job = 60; job < 65; ++job) {
     auto const path = "/u/" + JobId(job);
     BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(1, 1)) == 200U);
     BOOST_TEST(cluster.Call(cluster.Standby(), "GET", path) == 200U);
   }
-  for (std::uint64_t job = 65; job < 70; ++job) {
+  for (int job = 65; job < 70; ++job) {
     auto const path = "/u/" + JobId(job);
     BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", path, JobBody(1, 1)) == 200U);
     BOOST_TEST(cluster.Call(cluster.Standby(), "DELETE", path) == 200U);
