--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -60,9 +60,9 @@
   /// Keeps the claimed workers for the group until its turn. Drops a claim that has become too old
   /// or cannot be met any more.
   ///
-  /// Load pattern: a gang that needs a whole rack waits for stopped runs to end. Without a claim,
-  /// the next round gives the freed workers to others or finds another rack cheaper, and stops more
-  /// runs there; 156 runs were stopped for one gang that started 8 s later.
+  /// Load pattern: a gang of eight whole workers waits for stopped runs to end. Without a claim,
+  /// the next round gives the freed workers to others or finds other workers cheaper, and stops
+  /// more runs there; 148 runs were stopped for one gang that started 8 s later.
   void Claim(waiting_group const& aGroup, placement_claim const& aClaim)
   {
     if (mNow - aClaim.mSince > kClaimDuration) {
--- a/source/dispatch/tests/departure_decision_test.cpp
+++ b/source/dispatch/tests/departure_decision_test.cpp
@@ -11,9 +11,9 @@
 
 BOOST_AUTO_TEST_SUITE(departure_decision_test)
 
-// Guards against work that is lost with a worker whose departure was announced (spot notices of 1.5
-// to 2.5 s on further-grown: 44 runs lost with their worker on one day), and against stops of runs
-// that would have ended in time.
+// Guards against work that is lost with a worker whose departure was announced (14 runs on scale-1
+// of further-grown, after a spot notice of 1.5 s), and against stops of runs that would have ended
+// in time.
 BOOST_AUTO_TEST_CASE(runs_leave_before_their_worker_does)
 {
   struct departure_case
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -93,8 +93,8 @@
   BOOST_TEST(decision.mStarts.size() == 2U);
 }
 
-// Guards against stops in vain: a gang that needs a whole rack waited for stopped runs to end. In
-// each round another rack was cheaper or others took the freed workers; 156 runs were stopped for
+// Guards against stops in vain: a gang of eight whole workers waited for stopped runs to end. In
+// each round other workers were cheaper or others took the freed ones; 148 runs were stopped for
 // one urgent gang that started 8 s later (further-grown, scale-1, seed 12).
 BOOST_AUTO_TEST_CASE(a_gang_keeps_the_workers_it_stopped_runs_on)
 {
