Tests: Let the black-box test take unused ports

Change: reserve_ports takes a block that no socket uses, under a lock which the started processes hold too. A first port can still be given.

--- a/tests/black_box_test.sh
+++ b/tests/black_box_test.sh
@@ -2,13 +2,15 @@
 # Starts the real programs at the size of one user's deployment, injects faults and checks from outside
 # the processes that the system's invariants hold.
 # Usage: tests/black_box_test.sh FOLDER_OF_PROGRAMS [FIRST_PORT]
+# Without FIRST_PORT it takes ports that no other process uses.
 # BLACK_BOX_CASES selects cases by name.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$(realpath "$1")
-port=${2:-23000}
 folder=$(mktemp -d)
 source ./scripts/deployment-functions
+port=${2:-}
+[ -n "$port" ] || reserve_ports
 trap 'status=$?; [ $status -eq 0 ] || echo "stopped with status $status in ${FUNCNAME[*]:-main}"; stop_all; rm -rf "$folder"' EXIT
 
 passed=0
