Tests: Run the first black-box tasks for longer than a look at all workers takes

Beside 20 busy processes two of three runs failed. Change: the tasks run for 6 s, also those of the reclaim case, which is read in the same way; the checks and limits are the same.

--- a/tests/black_box_test.sh
+++ b/tests/black_box_test.sh
@@ -134,11 +134,12 @@
 # Guards against a job that does not run or runs only some of its tasks, and a request that runs twice.
 case_whole_path() {
   local id
-  id=$(submit_job path re-rating 4 4 same_rack 1500)
+  # Reading the lists of all workers takes seconds beside other load; the tasks run for longer than that.
+  id=$(submit_job path re-rating 4 4 same_rack 6000)
   wait_until 10 has_running_tasks "$id" 4
   wait_until 15 job_has_state "$id" finished
   expect "a second submission with the same key created another job" \
-    [ "$(submit_job path re-rating 4 4 same_rack 1500)" = "$id" ]
+    [ "$(submit_job path re-rating 4 4 same_rack 6000)" = "$id" ]
   expect_response 1 i1 body true "200 done 0"
   expect_response 1 n1 body false "200 done 0"
   expect_response 2 n1 body false "200 done 0"
@@ -216,7 +217,7 @@
   local borrower owner started
   borrower=$(submit_job borrower routing 10 8 same_region 120000)
   wait_until 15 has_running_tasks "$borrower" 10
-  owner=$(submit_job owner re-rating 2 8 same_rack 2000)
+  owner=$(submit_job owner re-rating 2 8 same_rack 6000)
   # The scheduler has received the submission before the store becomes unavailable.
   inject_fault table "" down
   started=$(now_ms)
