Dispatch: End a group's preferences while most of its service is free

Callers would see: a job without a running task for as long as the workers it prefers are busy, beside an idle fleet. The users count it as lost after 3 s. Cause: independent tasks were kept to the rack of their data, to workers that are not suspect and to those they had not failed on as long as there was any such worker, busy or not; a gang as long as it would fit there on idle workers. Two members of a gang could not start on one suspect worker at all. Change: a preference holds while waiting for it costs less than it brings. The rack: twice the expected run time, as a remote run takes three times as long; 1.5 s at most if no task of the job runs, so that planning, transaction and order (1.4 s) fit into the 3 s. Suspects and workers it failed on: 1.5 s, or the expected run time if other tasks of the job run. Then the other workers are used, preferred ones first: suspects last, then remote ones, then those failed on. All of this only while under half of the service is in use; long-running tasks, each owed by itself and at any load, are exempt from that. A last attempt is treated alike: the suspect worker comes last, after 1.5 s; to let the task wait on ends the job as well.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -6,15 +6,49 @@
 
 namespace rattanpond::dispatch {
 
+using base::milliseconds;
+
 namespace {
 
 constexpr double kMillicoresPerCore = 1000.0;
 
+/// Away from its data, or spread over racks, a task takes this many times as long; from the bounds
+/// of the users' pages.
+constexpr std::int64_t kRemoteSlowdown = 3;
+
 bool Contains(std::vector<std::string> const& aList, std::string const& aText)
 {
   return std::ranges::find(aList, aText) != aList.end();
 }
 
+/// Preferences of a group for some of the workers that may run it.
+struct preferences
+{
+  /// For workers near its data, and for one rack if it is a gang that is to stay in one.
+  bool mNearData = true;
+  /// For workers that are not suspect and that it has not failed on.
+  bool mReliable = true;
+
+  bool AreAllInForce() const { return mNearData && mReliable; }
+};
+
+/// The preferences of a group that has waited for some time while most of its service was free.
+preferences PreferencesAfter(milliseconds aWaited, waiting_group const& aGroup, bool aIsJobRunning)
+{
+  // Waiting for as long as a remote run takes longer costs at most twice as much as knowing when a
+  // preferred worker becomes free. A run that fails costs about its run time.
+  auto nearData = aGroup.mExpectedRunTime.count() > 0
+                    ? aGroup.mExpectedRunTime * (kRemoteSlowdown - 1)
+                    : kLongestPreference;
+  auto reliable = std::max(kLongestPreference, aGroup.mExpectedRunTime);
+  // Each long-running task is owed by itself.
+  if (!aIsJobRunning || aGroup.mShape->mIsLongRunning) {
+    nearData = std::min(nearData, kLongestPreference);
+    reliable = kLongestPreference;
+  }
+  return { .mNearData = aWaited < nearData, .mReliable = aWaited < reliable };
+}
+
 /// Places the groups one after the other on the remaining free resources of the workers.
 class placement_round
 {
@@ -143,9 +177,42 @@
            (aShape.mServingTarget.count() > 0 && mWorkers[aWorker].mHasBestEffort);
   }
 
+  /// A preference ends once the group has waited for it long enough. While most of the service is
+  /// in use it stays: the resources are then needed by others, for whom they may be near.
+  preferences CurrentPreferences(waiting_group const& aGroup) const
+  {
+    auto const isJobRunning = aGroup.mIsJobRunning || mStartedJobs.contains(aGroup.mJob);
+    auto const result = PreferencesAfter(mNow - aGroup.mWaitingSince, aGroup, isJobRunning);
+    if (result.AreAllInForce() || aGroup.mShape->mIsLongRunning || IsMostlyFree(aGroup.mService)) {
+      return result;
+    }
+    return {};
+  }
+
+  bool IsMostlyFree(std::string const& aService) const
+  {
+    service_load load;
+    for (auto const& worker : mWorkers) {
+      if (worker.mService == aService) {
+        load.Add(worker);
+      }
+    }
+    return load.Share() < kMostlyFreeShare;
+  }
+
+  bool IsNearData(waiting_group const& aGroup, std::size_t aWorker) const
+  {
+    return aGroup.mShape->mDataRack.empty() || mWorkers[aWorker].mRack == aGroup.mShape->mDataRack;
+  }
+
+  bool HasFailedOn(waiting_group const& aGroup, std::size_t aWorker) const
+  {
+    return Contains(aGroup.mFailedOn, mWorkers[aWorker].mWorker);
+  }
+
   /// Workers that may run the group: only those in the rack of its data, and without those on which
-  /// it has failed, if the others suffice.
-  positions Candidates(waiting_group const& aGroup) const
+  /// it has failed, if the others suffice and the preference is in force.
+  positions Candidates(waiting_group const& aGroup, preferences aPreferences = {}) const
   {
     positions all;
     for (std::size_t index = 0; index < mWorkers.size(); ++index) {
@@ -165,16 +232,15 @@
         all = std::move(kept);
       }
     };
-    keepIfSufficient([&](std::size_t aIndex) { return !AvoidsSuspect(aGroup, mWorkers[aIndex]); });
-    if (!aGroup.mShape->mDataRack.empty()) {
+    if (aPreferences.mReliable) {
       keepIfSufficient(
-        [&](std::size_t aIndex) { return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack; });
+        [&](std::size_t aIndex) { return !AvoidsSuspect(aGroup, mWorkers[aIndex]); });
     }
-    if (!aGroup.mFailedOn.empty()) {
-      keepIfSufficient([&](std::size_t aIndex) {
-        return std::ranges::find(aGroup.mFailedOn, mWorkers[aIndex].mWorker) ==
-               aGroup.mFailedOn.end();
-      });
+    if (aPreferences.mNearData) {
+      keepIfSufficient([&](std::size_t aIndex) { return IsNearData(aGroup, aIndex); });
+    }
+    if (aPreferences.mReliable) {
+      keepIfSufficient([&](std::size_t aIndex) { return !HasFailedOn(aGroup, aIndex); });
     }
     return all;
   }
@@ -210,20 +276,27 @@
 
   /// Best fit: the worker with the fewest free accelerators, then the fewest free processors, so
   /// that whole workers stay free for large tasks. Workers without interference come before all
-  /// others.
+  /// others. Where preferences have ended, the preferred workers still come first.
   std::optional<std::size_t> BestFit(waiting_group const& aGroup, positions const& aMembers,
                                      resources_by_worker const& aFree,
-                                     std::map<std::size_t, std::uint32_t> const& aPlaced) const
+                                     std::map<std::size_t, std::uint32_t> const& aPlaced,
+                                     preferences aPreferences = {}) const
   {
     std::optional<std::size_t> best;
     auto const& shape = *aGroup.mShape;
     auto const limit = LimitPerWorker(aGroup);
     auto const rank = [&](std::size_t aIndex) {
-      return std::tuple{ CausesInterference(shape, aIndex), aFree[aIndex].mAccelerators,
+      return std::tuple{ !aPreferences.mReliable && AvoidsSuspect(aGroup, mWorkers[aIndex]),
+                         !aPreferences.mNearData && !IsNearData(aGroup, aIndex),
+                         !aPreferences.mReliable && HasFailedOn(aGroup, aIndex),
+                         CausesInterference(shape, aIndex),
+                         aFree[aIndex].mAccelerators,
                          aFree[aIndex].mMillicores };
     };
     for (auto const index : aMembers) {
-      auto const isOnTrial = mWorkers[index].mIsSuspect && CountAt(aPlaced, index) > 0;
+      // One failing member fails the whole gang, so a single member there proves nothing.
+      auto const isOnTrial = mWorkers[index].mIsSuspect && aPreferences.mReliable &&
+                             !shape.mIsGang && CountAt(aPlaced, index) > 0;
       if (isOnTrial || !aFree[index].Covers(ReservedDemand(shape)) ||
           RunningCount(aGroup, index) + CountAt(aPlaced, index) >= limit) {
         continue;
@@ -250,12 +323,12 @@
 
   /// Returns one worker for each task, or nothing if they do not all fit.
   std::optional<positions> Fit(waiting_group const& aGroup, positions const& aMembers,
-                               resources_by_worker aFree) const
+                               resources_by_worker aFree, preferences aPreferences = {}) const
   {
     positions chosen;
     std::map<std::size_t, std::uint32_t> placed;
     for (std::size_t task = 0; task < aGroup.mIndexes.size(); ++task) {
-      auto const best = BestFit(aGroup, aMembers, aFree, placed);
+      auto const best = BestFit(aGroup, aMembers, aFree, placed, aPreferences);
       if (!best) {
         return std::nullopt;
       }
@@ -279,11 +352,13 @@
   {
     mFree[aWorker] -= ReservedDemand(*aGroup.mShape);
     mFreeAfterStops[aWorker] -= ReservedDemand(*aGroup.mShape);
+    mWorkers[aWorker].mFree -= ReservedDemand(*aGroup.mShape);
     mWorkers[aWorker].mHasRuns = true;
     mWorkers[aWorker].mHasServing =
       mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
     mWorkers[aWorker].mHasBestEffort =
       mWorkers[aWorker].mHasBestEffort || aGroup.mShape->mIsBestEffort;
+    mStartedJobs.insert(aGroup.mJob);
     mDecision.mStarts.push_back({ aGroup.mJob,
                                   { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
                                   mWorkers[aWorker].mWorker });
@@ -343,7 +418,7 @@
     for (; task < aGroup.mIndexes.size(); ++task) {
       auto best = BestFit(aGroup, claimed, mFree, placed);
       if (!best) {
-        best = BestFit(aGroup, candidates, mFree, placed);
+        best = BestFreeWorker(aGroup, candidates, placed);
       }
       if (!best) {
         break;
@@ -374,8 +449,26 @@
 
   bool StartGang(waiting_group const& aGroup)
   {
-    for (auto const& members : GangDomains(aGroup)) {
-      if (auto const chosen = Fit(aGroup, members, mFree)) {
+    if (StartGangIn(aGroup, GangDomains(aGroup), {})) {
+      return true;
+    }
+    auto const current = CurrentPreferences(aGroup);
+    if (current.AreAllInForce()) {
+      return false;
+    }
+    auto const candidates = Candidates(aGroup, current);
+    auto domains = Domains(aGroup, candidates);
+    if (!current.mNearData) {
+      domains.push_back(candidates);
+    }
+    return StartGangIn(aGroup, domains, current);
+  }
+
+  bool StartGangIn(waiting_group const& aGroup, std::vector<positions> const& aDomains,
+                   preferences aPreferences)
+  {
+    for (auto const& members : aDomains) {
+      if (auto const chosen = Fit(aGroup, members, mFree, aPreferences)) {
         for (std::size_t task = 0; task < chosen->size(); ++task) {
           Start(aGroup, task, (*chosen)[task]);
         }
@@ -385,6 +478,19 @@
     return false;
   }
 
+  /// A worker that an independent task may start on now: a preferred one, or any other once the
+  /// preferences have ended.
+  std::optional<std::size_t> BestFreeWorker(
+    waiting_group const& aGroup, positions const& aPreferred,
+    std::map<std::size_t, std::uint32_t> const& aPlaced) const
+  {
+    auto const best = BestFit(aGroup, aPreferred, mFree, aPlaced);
+    auto const current = best ? preferences{} : CurrentPreferences(aGroup);
+    return current.AreAllInForce()
+             ? best
+             : BestFit(aGroup, Candidates(aGroup, current), mFree, aPlaced, current);
+  }
+
   /// Domains for the group, those with the fewest free accelerators first.
   std::vector<positions> GangDomains(waiting_group const& aGroup) const
   {
@@ -407,7 +513,7 @@
     std::map<std::size_t, std::uint32_t> placed;
     std::size_t task = 0;
     for (; task < aGroup.mIndexes.size(); ++task) {
-      auto const best = BestFit(aGroup, candidates, mFree, placed);
+      auto const best = BestFreeWorker(aGroup, candidates, placed);
       if (!best) {
         break;
       }
@@ -592,6 +698,8 @@
   resources_by_worker mFree;
   /// Resources that are free once all stopping runs have ended.
   resources_by_worker mFreeAfterStops;
+  /// Jobs with a start in this decision.
+  std::set<std::string> mStartedJobs;
   placement_decision mDecision;
 };
 
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -65,8 +65,17 @@
   std::optional<std::vector<std::string>> mAllowed{};
   /// Time since which the turn of a task of the group has come while it has no run.
   base::time_point mWaitingSince{};
+  /// Whether any task of the job is running.
+  bool mIsJobRunning = false;
+  /// Expected run time of one task on a worker near its data; 0 if unknown.
+  base::milliseconds mExpectedRunTime{ 0 };
 };
 
+/// Longest time for which a job without a running task waits for preferred workers while most of
+/// its service is free. The users count it as lost after 3 s, and after the decision the start
+/// takes a planning interval (0.2 s), a transaction (0.8 s) and an order (0.4 s).
+inline constexpr base::milliseconds kLongestPreference{ 1500 };
+
 /// Runs that are stopped together: those of a gang, or a single one.
 struct preemptible_run
 {
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -62,6 +62,26 @@
 /// discarded work is done again later, while other jobs wait for it.
 constexpr double kPreemptionBudgetShare = 0.5;
 
+/// Whether a run of the job is listed, or has just been ordered.
+bool IsAnyRunning(job_record const& aJob, base::time_point aNow)
+{
+  auto const& description = aJob.Description();
+  for (std::uint32_t occurrence = 0; occurrence < description.Runs(); ++occurrence) {
+    for (std::uint32_t step = 0; step < description.mSteps.size(); ++step) {
+      if (std::ranges::any_of(aJob.Tasks(occurrence, step), [&](tracked_task const& aTask) {
+            auto const isOrdered =
+              aTask.mRunStatus == run_status::planned || aTask.mRunStatus == run_status::starting;
+            return aTask.mState.mStatus == task_status::active &&
+                   (aTask.mRunStatus == run_status::running ||
+                    (isOrdered && aNow - aTask.mRunStatusSince < kLongestPreference));
+          })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 /// What keeps all starts from a worker, apart from its health.
 start_obstacle Barrier(bool aIsLinked, side_report const& aReport, bool aIsEvacuated,
                        bool aIsPaused)
@@ -189,6 +209,7 @@
   auto const& description = aJob.Description();
   auto const* const queue = QueueOf(aJob);
   auto const wallMs = base::WallClockMilliseconds();
+  std::optional<bool> isJobRunning;
   for (std::uint32_t occurrence = 0; occurrence < description.Runs(); ++occurrence) {
     if (!IsDue(description, occurrence, wallMs)) {
       break;
@@ -206,6 +227,7 @@
                            .mPriority = PriorityOf(aJob),
                            .mIsGuaranteed = aIsGuaranteed };
       auto const expected = ExpectedRunTime(aJob, shape);
+      group.mExpectedRunTime = expected;
       group.mDueBy = DueBy(aJob, queue, occurrence, expected, aNow, wallMs);
       group.mIsLate = aNow + expected > group.mDueBy;
       if (mAdvice && queue != nullptr && queue->mAdvice) {
@@ -244,6 +266,10 @@
                                   std::chrono::duration<double>(expected).count();
       }
       if (!group.mIndexes.empty() && !(shape.mIsGang && isAnyActive)) {
+        if (!isJobRunning) {
+          isJobRunning = IsAnyRunning(aJob, aNow);
+        }
+        group.mIsJobRunning = *isJobRunning;
         aGroups.push_back(std::move(group));
       }
     }
