Dispatch: Start overdue tasks on claimed workers with room for them

Callers would see: a task that waits for as long as another job's stopped run does not end, on a worker with room for it, while most of the service is idle. Cause: a claim keeps a worker with all its free resources for a group that has had runs stopped there. It ends after 2.5 s, but the next decision counts the run that is still stopping as free soon and claims the worker again. Change: a group whose preferences have ended (1.5 s of waiting, most of the service free) uses resources that are reserved for others if nothing else is free; those of guaranteed groups are not touched. The claim is then dropped since it can no longer be met, and its group plans anew. Result: placement_wait_test.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -65,6 +65,7 @@
       mFree.push_back(mWorkers[index].mFree);
     }
     mFreeAfterStops = mFree;
+    mReserved.resize(mWorkers.size());
     mRunsOn.resize(mWorkers.size());
     for (std::size_t run = 0; run < mRuns.size(); ++run) {
       positions runWorkers;
@@ -370,6 +371,9 @@
     for (auto const worker : aChosen) {
       mFree[worker] -= ReservedDemand(*aGroup.mShape);
       mFreeAfterStops[worker] -= ReservedDemand(*aGroup.mShape);
+      if (!aGroup.mIsGuaranteed) {
+        mReserved[worker] += ReservedDemand(*aGroup.mShape);
+      }
     }
   }
 
@@ -378,9 +382,24 @@
     for (auto const worker : aChosen) {
       mFree[worker] += ReservedDemand(*aGroup.mShape);
       mFreeAfterStops[worker] += ReservedDemand(*aGroup.mShape);
+      if (!aGroup.mIsGuaranteed) {
+        mReserved[worker] -= ReservedDemand(*aGroup.mShape);
+      }
     }
   }
 
+  /// Free resources, those that are reserved for other groups included. A run that does not stop
+  /// would otherwise keep a whole worker from tasks that fit beside it for as long as it is there.
+  /// Reservations of guaranteed groups are not touched.
+  resources_by_worker FreeWithReserved() const
+  {
+    auto free = mFree;
+    for (std::size_t worker = 0; worker < free.size(); ++worker) {
+      free[worker] += mReserved[worker];
+    }
+    return free;
+  }
+
   void RecordClaim(waiting_group const& aGroup, positions const& aChosen, base::time_point aSince)
   {
     placement_claim claim{ .mJob = aGroup.mJob,
@@ -449,7 +468,7 @@
 
   bool StartGang(waiting_group const& aGroup)
   {
-    if (StartGangIn(aGroup, GangDomains(aGroup), {})) {
+    if (StartGangIn(aGroup, GangDomains(aGroup), {}, mFree)) {
       return true;
     }
     auto const current = CurrentPreferences(aGroup);
@@ -461,14 +480,15 @@
     if (!current.mNearData) {
       domains.push_back(candidates);
     }
-    return StartGangIn(aGroup, domains, current);
+    return StartGangIn(aGroup, domains, current, mFree) ||
+           (!current.mReliable && StartGangIn(aGroup, domains, current, FreeWithReserved()));
   }
 
   bool StartGangIn(waiting_group const& aGroup, std::vector<positions> const& aDomains,
-                   preferences aPreferences)
+                   preferences aPreferences, resources_by_worker const& aFree)
   {
     for (auto const& members : aDomains) {
-      if (auto const chosen = Fit(aGroup, members, mFree, aPreferences)) {
+      if (auto const chosen = Fit(aGroup, members, aFree, aPreferences)) {
         for (std::size_t task = 0; task < chosen->size(); ++task) {
           Start(aGroup, task, (*chosen)[task]);
         }
@@ -486,9 +506,14 @@
   {
     auto const best = BestFit(aGroup, aPreferred, mFree, aPlaced);
     auto const current = best ? preferences{} : CurrentPreferences(aGroup);
-    return current.AreAllInForce()
-             ? best
-             : BestFit(aGroup, Candidates(aGroup, current), mFree, aPlaced, current);
+    if (current.AreAllInForce()) {
+      return best;
+    }
+    auto const candidates = Candidates(aGroup, current);
+    auto const other = BestFit(aGroup, candidates, mFree, aPlaced, current);
+    return other || current.mReliable
+             ? other
+             : BestFit(aGroup, candidates, FreeWithReserved(), aPlaced, current);
   }
 
   /// Domains for the group, those with the fewest free accelerators first.
@@ -696,6 +721,9 @@
   std::map<std::string, std::size_t> mIndex;
   /// Resources that are free now, less those assigned or reserved in this round.
   resources_by_worker mFree;
+  /// Resources that are reserved for groups that wait for stops, but for guaranteed ones; not part
+  /// of mFree.
+  resources_by_worker mReserved;
   /// Resources that are free once all stopping runs have ended.
   resources_by_worker mFreeAfterStops;
   /// Jobs with a start in this decision.
--- a/source/dispatch/tests/placement_wait_test.cpp
+++ b/source/dispatch/tests/placement_wait_test.cpp
@@ -93,13 +93,17 @@
       for (auto const& stop : decision.mStops) {
         mRuns[stop.mRun].mIsStopping = true;
       }
-      if (std::ranges::count(decision.mStarts, "job", &placed_task::mJob) > 0) {
-        return waited;
-      }
+      auto const isStarted = std::ranges::count(decision.mStarts, "job", &placed_task::mJob) > 0;
       for (auto const& start : decision.mStarts) {
         auto const rival = std::ranges::find(mRivals, start.mJob, &waiting_group::mJob);
-        Find(start.mWorker).mFree -= ReservedDemand(*rival->mShape);
-        std::erase(rival->mIndexes, start.mPosition.mIndex);
+        auto& started = rival == mRivals.end() ? mGroup : *rival;
+        auto& free = Find(start.mWorker).mFree;
+        BOOST_TEST(free.Covers(ReservedDemand(*started.mShape)));
+        free -= ReservedDemand(*started.mShape);
+        std::erase(started.mIndexes, start.mPosition.mIndex);
+      }
+      if (isStarted) {
+        return waited;
       }
       std::erase_if(mRivals, [](waiting_group const& aRival) { return aRival.mIndexes.empty(); });
       waited = HasRoom() ? waited + kPlanningInterval : milliseconds{ 0 };
@@ -228,10 +232,47 @@
     } },
 };
 
+/// The only worker for both groups has a run that is being stopped for the other one, and does not
+/// end.
+scene ClaimedWorker()
+{
+  static job_step const rivalStep = [] {
+    job_step step;
+    step.mDemand = Demand(8);
+    step.mRequiredLabel = "b";
+    return step;
+  }();
+  scene result{ 1, 1, false };
+  result.mStep.mRequiredLabel = "b";
+  result.mWorkers = { Worker("w0", "r1", 1), Worker("w1", "r1"), Worker("w2", "r1") };
+  result.Find("w0").mLabels.push_back("b");
+  result.mRuns = { { .mJob = "run",
+                     .mTasks = { {} },
+                     .mWorkers = { "w0" },
+                     .mDemand = Demand(1),
+                     .mPriority = 2,
+                     .mIsStopping = true } };
+  result.mRivals = { { .mJob = "rival",
+                       .mIndexes = { 0 },
+                       .mShape = &rivalStep,
+                       .mService = "service",
+                       .mPriority = 0,
+                       .mPreemptionBudget = 1000,
+                       .mWaitingSince = kStart } };
+  return result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(placement_wait_test)
 
+// Guards against a worker that is claimed again and again for a group whose stopped run does not
+// end, while another task fits on it.
+BOOST_AUTO_TEST_CASE(a_run_that_does_not_stop_keeps_no_worker_claimed)
+{
+  BOOST_TEST(ClaimedWorker().Wait() <= kDecisionBound);
+}
+
 // Guards against a task that waits for good for the workers that it prefers, while most of the
 // service is idle: near its data, not suspect, not failed on. The users count its job as lost.
 BOOST_AUTO_TEST_CASE(preferences_end_while_most_of_the_service_is_free)
@@ -389,6 +430,23 @@
       }
       obstacles.emplace_back("permit");
     }
+    job_step rivalStep;
+    rivalStep.mDemand = Demand(8);
+    if (chance(30)) {
+      rivalStep.mIsGang = true;
+      rivalStep.mCount = static_cast<std::uint32_t>(draw(1, 3));
+      waiting_group rival{ .mJob = "rival",
+                           .mShape = &rivalStep,
+                           .mService = "service",
+                           .mPriority = 0,
+                           .mPreemptionBudget = 1000,
+                           .mWaitingSince = kStart };
+      for (std::uint32_t index = 0; index < rivalStep.mCount; ++index) {
+        rival.mIndexes.push_back(index);
+      }
+      drawn.mRivals.push_back(std::move(rival));
+      obstacles.emplace_back("rival");
+    }
     drawn.mGroup.mShape = &drawn.mStep;
     if (!drawn.HasRoom()) {
       continue;
