Dispatch: Take the share of workers set aside of those that a service has

Callers would see: the tasks of a service wait for up to 6 s, the time of a quarantine, beside idle workers. Cause: at most 34% of the workers are quarantined or suspect, but the share was taken of all workers known: those of other services, evacuated and absent ones too. All workers of a small service could be quarantined at once. The share went to workers in order of their names, so that suspects took it from workers known to fail. Change: set_aside_limit takes it for each service of the workers that accept starts or would without quarantine; quarantined workers come first.

--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/set_aside_limit.h"
 
 #include <algorithm>
 
@@ -99,9 +100,6 @@
   return aIsPaused ? start_obstacle::paused : start_obstacle::none;
 }
 
-/// At most this share of the workers is quarantined or suspect; the others are used as usual.
-constexpr double kMaximumShareSetAside = 0.34;
-
 } // namespace
 
 queue const* scheduler::QueueOf(job_record const& aJob) const
@@ -121,7 +119,6 @@
 {
   std::vector<worker_snapshot> snapshots;
   std::map<std::string, std::size_t> index;
-  std::size_t setAside = 0;
   for (auto const& [node, session] : mSessions) {
     if (!session->mHasReport) {
       continue;
@@ -136,17 +133,17 @@
     snapshot.mBarrier = Barrier(session->mLink != nullptr, report,
                                 mOptions.mReplica.Evacuations().contains(report.mDomain),
                                 aNow < session->mStartsPausedUntil);
-    auto const isQuarantined = session->mHealth.IsQuarantined(aNow);
-    if (snapshot.AcceptsStarts() && (isQuarantined || session->mHealth.IsSuspect(aNow)) &&
-        static_cast<double>(setAside + 1) <=
-          kMaximumShareSetAside * static_cast<double>(mSessions.size())) {
-      snapshot.mBarrier = isQuarantined ? start_obstacle::quarantined : start_obstacle::none;
-      snapshot.mIsSuspect = !isQuarantined;
-      ++setAside;
+    if (snapshot.AcceptsStarts()) {
+      if (session->mHealth.IsQuarantined(aNow)) {
+        snapshot.mBarrier = start_obstacle::quarantined;
+      } else {
+        snapshot.mIsSuspect = session->mHealth.IsSuspect(aNow);
+      }
     }
     index[node] = snapshots.size();
     snapshots.push_back(std::move(snapshot));
   }
+  LimitSetAside(snapshots);
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const found = index.find(aTask.mState.mWorker);
     if (found == index.end()) {
