Dispatch: Reclaim for a guaranteed group beyond the workers it prefers

Callers would see: urgent work within its guarantee that does not begin within the reclaim bound (2.9 s), beside idle workers or less urgent work. Cause: a guaranteed group stopped runs only on workers that it prefers: in the rack of its data, not suspect, not failed on. Where these have guaranteed runs only, it waited for them, and did not start on idle workers elsewhere either. Change: where its preferred workers have nothing free and nothing that may be stopped, it starts on any other, or reclaims there. Result: placement_wait_test/a_guaranteed_group_reclaims_beyond_the_rack_of_its_data failed before (no start on the idle worker), and passes; within the rack it still reclaims first.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -32,6 +32,8 @@
   bool AreAllInForce() const { return mNearData && mReliable; }
 };
 
+constexpr preferences kNoPreferences{ .mNearData = false, .mReliable = false };
+
 /// The preferences of a group that has waited for some time while most of its service was free.
 preferences PreferencesAfter(milliseconds aWaited, waiting_group const& aGroup, bool aIsJobRunning)
 {
@@ -527,8 +529,17 @@
 
   void PlaceGang(waiting_group const& aGroup)
   {
-    if (!StartGang(aGroup) && MayPreempt(aGroup)) {
-      Preempt(aGroup, GangDomains(aGroup));
+    if (StartGang(aGroup) || !MayPreempt(aGroup) || Preempt(aGroup, GangDomains(aGroup)) ||
+        !aGroup.mIsGuaranteed) {
+      return;
+    }
+    // The reclaim bound leaves no time to wait for preferred workers with runs that may not be
+    // stopped.
+    auto const all = Candidates(aGroup, kNoPreferences);
+    auto const domains = Domains(aGroup, all);
+    if (!StartGangIn(aGroup, domains, kNoPreferences, mFree) &&
+        !StartGangIn(aGroup, { all }, kNoPreferences, mFree) && !Preempt(aGroup, domains)) {
+      Preempt(aGroup, { all });
     }
   }
 
@@ -546,10 +557,37 @@
       Start(aGroup, task, *best);
     }
     if (task < aGroup.mIndexes.size() && MayPreempt(aGroup)) {
-      auto remaining = aGroup;
-      remaining.mIndexes.erase(remaining.mIndexes.begin(),
-                               remaining.mIndexes.begin() + static_cast<std::ptrdiff_t>(task));
-      Preempt(remaining, { candidates });
+      auto const remaining = Remaining(aGroup, task);
+      if (!Preempt(remaining, { candidates }) && aGroup.mIsGuaranteed) {
+        PlaceAnywhere(remaining, std::move(placed));
+      }
+    }
+  }
+
+  static waiting_group Remaining(waiting_group const& aGroup, std::size_t aPlaced)
+  {
+    auto remaining = aGroup;
+    remaining.mIndexes.erase(remaining.mIndexes.begin(),
+                             remaining.mIndexes.begin() + static_cast<std::ptrdiff_t>(aPlaced));
+    return remaining;
+  }
+
+  /// Places independent tasks of a guaranteed group whose preferred workers have runs that may not
+  /// be stopped.
+  void PlaceAnywhere(waiting_group const& aGroup, std::map<std::size_t, std::uint32_t> aPlaced)
+  {
+    auto const all = Candidates(aGroup, kNoPreferences);
+    std::size_t task = 0;
+    for (; task < aGroup.mIndexes.size(); ++task) {
+      auto const best = BestFit(aGroup, all, mFree, aPlaced, kNoPreferences);
+      if (!best) {
+        break;
+      }
+      ++aPlaced[*best];
+      Start(aGroup, task, *best);
+    }
+    if (task < aGroup.mIndexes.size()) {
+      Preempt(Remaining(aGroup, task), { all });
     }
   }
 
@@ -687,7 +725,9 @@
     return result;
   }
 
-  void Preempt(waiting_group const& aGroup, std::vector<positions> const& aDomains)
+  /// Stops the cheapest runs that free enough resources in one of the domains, and claims these.
+  /// Returns false if there are none that may be stopped.
+  bool Preempt(waiting_group const& aGroup, std::vector<positions> const& aDomains)
   {
     std::optional<preemption_plan> best;
     for (auto const& members : aDomains) {
@@ -697,7 +737,7 @@
       }
     }
     if (!best || (!aGroup.mIsGuaranteed && best->mCost.mLostWork > aGroup.mPreemptionBudget)) {
-      return;
+      return false;
     }
     for (auto const run : best->mPreempted) {
       mIsStopped[run] = true;
@@ -707,6 +747,7 @@
     }
     Reserve(aGroup, best->mChosen);
     RecordClaim(aGroup, best->mChosen, mNow);
+    return true;
   }
 
   std::vector<worker_snapshot> mWorkers;
--- a/source/dispatch/tests/placement_wait_test.cpp
+++ b/source/dispatch/tests/placement_wait_test.cpp
@@ -346,6 +346,51 @@
   BOOST_TEST(chosen() == "w3");
 }
 
+// Guards against a guaranteed group that waits for its rack, in which no run may be stopped for it,
+// although it could start or reclaim elsewhere: it is to start within the reclaim bound.
+BOOST_AUTO_TEST_CASE(a_guaranteed_group_reclaims_beyond_the_rack_of_its_data)
+{
+  for (auto const isGang : { true, false }) {
+    BOOST_TEST_CONTEXT("gang " << isGang)
+    {
+      scene scene{ 1, 8, isGang };
+      scene.mStep.mDataRack = "r1";
+      scene.mGroup.mShape = &scene.mStep;
+      scene.mGroup.mPriority = 0;
+      scene.mGroup.mIsGuaranteed = true;
+      scene.mWorkers = { Worker("near", "r1", 8), Worker("bulk", "r2", 8), Worker("idle", "r2") };
+      scene.mRuns = { { .mJob = "guaranteed",
+                        .mTasks = { {} },
+                        .mWorkers = { "near" },
+                        .mDemand = Demand(8),
+                        .mPriority = 0,
+                        .mIsGuaranteed = true },
+                      { .mJob = "bulk",
+                        .mTasks = { {} },
+                        .mWorkers = { "bulk" },
+                        .mDemand = Demand(8),
+                        .mPriority = 2 } };
+      auto const decide = [&] {
+        return DecidePlacement(scene.mWorkers, { scene.mGroup }, scene.mRuns, {}, kStart);
+      };
+      auto const started = decide();
+      BOOST_TEST(started.mStops.empty());
+      BOOST_REQUIRE(started.mStarts.size() == 1U);
+      BOOST_TEST(started.mStarts.front().mWorker == "idle");
+      scene.mWorkers.pop_back();
+      auto const reclaimed = decide();
+      BOOST_REQUIRE(reclaimed.mStops.size() == 1U);
+      BOOST_TEST(reclaimed.mStops.front().mRun == 1U);
+      // Where a run in the rack may be stopped, the group stays near its data.
+      scene.mRuns.front().mIsGuaranteed = false;
+      scene.mRuns.front().mPriority = 2;
+      auto const near = decide();
+      BOOST_REQUIRE(near.mStops.size() == 1U);
+      BOOST_TEST(near.mStops.front().mRun == 0U);
+    }
+  }
+}
+
 // Guards against a combination of obstacles that the scenes above lack: whatever keeps a group from
 // some workers, it is started in time while there is room for it twice over.
 BOOST_AUTO_TEST_CASE(random_groups_start_in_time_while_there_is_room)
