--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -6,15 +6,51 @@
 
 namespace rattanpond::dispatch {
 
+using base::milliseconds;
+
 namespace {
 
 constexpr double kMillicoresPerCore = 1000.0;
 
+/// Away from its data, or spread over racks, a task takes this many times as long; from the bounds
+/// of the users' pages.
+constexpr std::int64_t kRemoteSlowdown = 3;
+
 bool Contains(std::vector<std::string> const& aList, std::string const& aText)
 {
   return std::ranges::find(aList, aText) != aList.end();
 }
 
+/// Preferences of a group for some of the workers that may run it.
+struct preferences
+{
+  /// For workers near its data, and for one rack if it is a gang that is to stay in one.
+  bool mNearData = true;
+  /// For workers that are not suspect and that it has not failed on.
+  bool mReliable = true;
+
+  bool AreAllInForce() const { return mNearData && mReliable; }
+};
+
+constexpr preferences kNoPreferences{ .mNearData = false, .mReliable = false };
+
+/// The preferences of a group that has waited for some time while most of its service was free.
+preferences PreferencesAfter(milliseconds aWaited, waiting_group const& aGroup, bool aIsJobRunning)
+{
+  // Waiting for as long as a remote run takes longer costs at most twice as much as knowing when a
+  // preferred worker becomes free. A run that fails costs about its run time.
+  auto nearData = aGroup.mExpectedRunTime.count() > 0
+                    ? aGroup.mExpectedRunTime * (kRemoteSlowdown - 1)
+                    : kLongestPreference;
+  auto reliable = std::max(kLongestPreference, aGroup.mExpectedRunTime);
+  // Each long-running task is owed by itself.
+  if (!aIsJobRunning || aGroup.mShape->mIsLongRunning) {
+    nearData = std::min(nearData, kLongestPreference);
+    reliable = kLongestPreference;
+  }
+  return { .mNearData = aWaited < nearData, .mReliable = aWaited < reliable };
+}
+
 /// Places the groups one after the other on the remaining free resources of the workers.
 class placement_round
 {
@@ -31,6 +67,7 @@
       mFree.push_back(mWorkers[index].mFree);
     }
     mFreeAfterStops = mFree;
+    mReserved.resize(mWorkers.size());
     mRunsOn.resize(mWorkers.size());
     for (std::size_t run = 0; run < mRuns.size(); ++run) {
       positions runWorkers;
@@ -143,9 +180,42 @@
            (aShape.mServingTarget.count() > 0 && mWorkers[aWorker].mHasBestEffort);
   }
 
+  /// A preference ends once the group has waited for it long enough. While most of the service is
+  /// in use it stays: the resources are then needed by others, for whom they may be near.
+  preferences CurrentPreferences(waiting_group const& aGroup) const
+  {
+    auto const isJobRunning = aGroup.mIsJobRunning || mStartedJobs.contains(aGroup.mJob);
+    auto const result = PreferencesAfter(mNow - aGroup.mWaitingSince, aGroup, isJobRunning);
+    if (result.AreAllInForce() || aGroup.mShape->mIsLongRunning || IsMostlyFree(aGroup.mService)) {
+      return result;
+    }
+    return {};
+  }
+
+  bool IsMostlyFree(std::string const& aService) const
+  {
+    service_load load;
+    for (auto const& worker : mWorkers) {
+      if (worker.mService == aService) {
+        load.Add(worker);
+      }
+    }
+    return load.Share() < kMostlyFreeShare;
+  }
+
+  bool IsNearData(waiting_group const& aGroup, std::size_t aWorker) const
+  {
+    return aGroup.mShape->mDataRack.empty() || mWorkers[aWorker].mRack == aGroup.mShape->mDataRack;
+  }
+
+  bool HasFailedOn(waiting_group const& aGroup, std::size_t aWorker) const
+  {
+    return Contains(aGroup.mFailedOn, mWorkers[aWorker].mWorker);
+  }
+
   /// Workers that may run the group: only those in the rack of its data, and without those on which
-  /// it has failed, if the others suffice.
-  positions Candidates(waiting_group const& aGroup) const
+  /// it has failed, if the others suffice and the preference is in force.
+  positions Candidates(waiting_group const& aGroup, preferences aPreferences = {}) const
   {
     positions all;
     for (std::size_t index = 0; index < mWorkers.size(); ++index) {
@@ -165,22 +235,15 @@
         all = std::move(kept);
       }
     };
-    // A gang fails with any of its members, so it runs no trial on a suspect worker either.
-    auto const avoidsSuspects =
-      aGroup.mPriority == 0 || aGroup.mIsLastAttempt || aGroup.mShape->mIsGang;
-    keepIfSufficient([&](std::size_t aIndex) {
-      auto const& worker = mWorkers[aIndex];
-      return !worker.mIsSuspect || (!avoidsSuspects && !worker.mHasRuns);
-    });
-    if (!aGroup.mShape->mDataRack.empty()) {
+    if (aPreferences.mReliable) {
       keepIfSufficient(
-        [&](std::size_t aIndex) { return mWorkers[aIndex].mRack == aGroup.mShape->mDataRack; });
+        [&](std::size_t aIndex) { return !AvoidsSuspect(aGroup, mWorkers[aIndex]); });
     }
-    if (!aGroup.mFailedOn.empty()) {
-      keepIfSufficient([&](std::size_t aIndex) {
-        return std::ranges::find(aGroup.mFailedOn, mWorkers[aIndex].mWorker) ==
-               aGroup.mFailedOn.end();
-      });
+    if (aPreferences.mNearData) {
+      keepIfSufficient([&](std::size_t aIndex) { return IsNearData(aGroup, aIndex); });
+    }
+    if (aPreferences.mReliable) {
+      keepIfSufficient([&](std::size_t aIndex) { return !HasFailedOn(aGroup, aIndex); });
     }
     return all;
   }
@@ -216,20 +279,27 @@
 
   /// Best fit: the worker with the fewest free accelerators, then the fewest free processors, so
   /// that whole workers stay free for large tasks. Workers without interference come before all
-  /// others.
+  /// others. Where preferences have ended, the preferred workers still come first.
   std::optional<std::size_t> BestFit(waiting_group const& aGroup, positions const& aMembers,
                                      resources_by_worker const& aFree,
-                                     std::map<std::size_t, std::uint32_t> const& aPlaced) const
+                                     std::map<std::size_t, std::uint32_t> const& aPlaced,
+                                     preferences aPreferences = {}) const
   {
     std::optional<std::size_t> best;
     auto const& shape = *aGroup.mShape;
     auto const limit = LimitPerWorker(aGroup);
     auto const rank = [&](std::size_t aIndex) {
-      return std::tuple{ CausesInterference(shape, aIndex), aFree[aIndex].mAccelerators,
+      return std::tuple{ !aPreferences.mReliable && AvoidsSuspect(aGroup, mWorkers[aIndex]),
+                         !aPreferences.mNearData && !IsNearData(aGroup, aIndex),
+                         !aPreferences.mReliable && HasFailedOn(aGroup, aIndex),
+                         CausesInterference(shape, aIndex),
+                         aFree[aIndex].mAccelerators,
                          aFree[aIndex].mMillicores };
     };
     for (auto const index : aMembers) {
-      auto const isOnTrial = mWorkers[index].mIsSuspect && CountAt(aPlaced, index) > 0;
+      // One failing member fails the whole gang, so a single member there proves nothing.
+      auto const isOnTrial = mWorkers[index].mIsSuspect && aPreferences.mReliable &&
+                             !shape.mIsGang && CountAt(aPlaced, index) > 0;
       if (isOnTrial || !aFree[index].Covers(ReservedDemand(shape)) ||
           RunningCount(aGroup, index) + CountAt(aPlaced, index) >= limit) {
         continue;
@@ -256,12 +326,12 @@
 
   /// Returns one worker for each task, or nothing if they do not all fit.
   std::optional<positions> Fit(waiting_group const& aGroup, positions const& aMembers,
-                               resources_by_worker aFree) const
+                               resources_by_worker aFree, preferences aPreferences = {}) const
   {
     positions chosen;
     std::map<std::size_t, std::uint32_t> placed;
     for (std::size_t task = 0; task < aGroup.mIndexes.size(); ++task) {
-      auto const best = BestFit(aGroup, aMembers, aFree, placed);
+      auto const best = BestFit(aGroup, aMembers, aFree, placed, aPreferences);
       if (!best) {
         return std::nullopt;
       }
@@ -285,11 +355,13 @@
   {
     mFree[aWorker] -= ReservedDemand(*aGroup.mShape);
     mFreeAfterStops[aWorker] -= ReservedDemand(*aGroup.mShape);
+    mWorkers[aWorker].mFree -= ReservedDemand(*aGroup.mShape);
     mWorkers[aWorker].mHasRuns = true;
     mWorkers[aWorker].mHasServing =
       mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
     mWorkers[aWorker].mHasBestEffort =
       mWorkers[aWorker].mHasBestEffort || aGroup.mShape->mIsBestEffort;
+    mStartedJobs.insert(aGroup.mJob);
     mDecision.mStarts.push_back({ aGroup.mJob,
                                   { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
                                   mWorkers[aWorker].mWorker });
@@ -301,6 +373,9 @@
     for (auto const worker : aChosen) {
       mFree[worker] -= ReservedDemand(*aGroup.mShape);
       mFreeAfterStops[worker] -= ReservedDemand(*aGroup.mShape);
+      if (!aGroup.mIsGuaranteed) {
+        mReserved[worker] += ReservedDemand(*aGroup.mShape);
+      }
     }
   }
 
@@ -309,9 +384,24 @@
     for (auto const worker : aChosen) {
       mFree[worker] += ReservedDemand(*aGroup.mShape);
       mFreeAfterStops[worker] += ReservedDemand(*aGroup.mShape);
+      if (!aGroup.mIsGuaranteed) {
+        mReserved[worker] -= ReservedDemand(*aGroup.mShape);
+      }
     }
   }
 
+  /// Free resources, those that are reserved for other groups included. A run that does not stop
+  /// would otherwise keep a whole worker from tasks that fit beside it for as long as it is there.
+  /// Reservations of guaranteed groups are not touched.
+  resources_by_worker FreeWithReserved() const
+  {
+    auto free = mFree;
+    for (std::size_t worker = 0; worker < free.size(); ++worker) {
+      free[worker] += mReserved[worker];
+    }
+    return free;
+  }
+
   void RecordClaim(waiting_group const& aGroup, positions const& aChosen, base::time_point aSince)
   {
     placement_claim claim{ .mJob = aGroup.mJob,
@@ -349,7 +439,7 @@
     for (; task < aGroup.mIndexes.size(); ++task) {
       auto best = BestFit(aGroup, claimed, mFree, placed);
       if (!best) {
-        best = BestFit(aGroup, candidates, mFree, placed);
+        best = BestFreeWorker(aGroup, candidates, placed);
       }
       if (!best) {
         break;
@@ -380,8 +470,27 @@
 
   bool StartGang(waiting_group const& aGroup)
   {
-    for (auto const& members : GangDomains(aGroup)) {
-      if (auto const chosen = Fit(aGroup, members, mFree)) {
+    if (StartGangIn(aGroup, GangDomains(aGroup), {}, mFree)) {
+      return true;
+    }
+    auto const current = CurrentPreferences(aGroup);
+    if (current.AreAllInForce()) {
+      return false;
+    }
+    auto const candidates = Candidates(aGroup, current);
+    auto domains = Domains(aGroup, candidates);
+    if (!current.mNearData) {
+      domains.push_back(candidates);
+    }
+    return StartGangIn(aGroup, domains, current, mFree) ||
+           (!current.mReliable && StartGangIn(aGroup, domains, current, FreeWithReserved()));
+  }
+
+  bool StartGangIn(waiting_group const& aGroup, std::vector<positions> const& aDomains,
+                   preferences aPreferences, resources_by_worker const& aFree)
+  {
+    for (auto const& members : aDomains) {
+      if (auto const chosen = Fit(aGroup, members, aFree, aPreferences)) {
         for (std::size_t task = 0; task < chosen->size(); ++task) {
           Start(aGroup, task, (*chosen)[task]);
         }
@@ -391,6 +500,24 @@
     return false;
   }
 
+  /// A worker that an independent task may start on now: a preferred one, or any other once the
+  /// preferences have ended.
+  std::optional<std::size_t> BestFreeWorker(
+    waiting_group const& aGroup, positions const& aPreferred,
+    std::map<std::size_t, std::uint32_t> const& aPlaced) const
+  {
+    auto const best = BestFit(aGroup, aPreferred, mFree, aPlaced);
+    auto const current = best ? preferences{} : CurrentPreferences(aGroup);
+    if (current.AreAllInForce()) {
+      return best;
+    }
+    auto const candidates = Candidates(aGroup, current);
+    auto const other = BestFit(aGroup, candidates, mFree, aPlaced, current);
+    return other || current.mReliable
+             ? other
+             : BestFit(aGroup, candidates, FreeWithReserved(), aPlaced, current);
+  }
+
   /// Domains for the group, those with the fewest free accelerators first.
   std::vector<positions> GangDomains(waiting_group const& aGroup) const
   {
@@ -402,8 +529,17 @@
 
   void PlaceGang(waiting_group const& aGroup)
   {
-    if (!StartGang(aGroup) && MayPreempt(aGroup)) {
-      Preempt(aGroup, GangDomains(aGroup));
+    if (StartGang(aGroup) || !MayPreempt(aGroup) || Preempt(aGroup, GangDomains(aGroup)) ||
+        !aGroup.mIsGuaranteed) {
+      return;
+    }
+    // The reclaim bound leaves no time to wait for preferred workers with runs that may not be
+    // stopped.
+    auto const all = Candidates(aGroup, kNoPreferences);
+    auto const domains = Domains(aGroup, all);
+    if (!StartGangIn(aGroup, domains, kNoPreferences, mFree) &&
+        !StartGangIn(aGroup, { all }, kNoPreferences, mFree) && !Preempt(aGroup, domains)) {
+      Preempt(aGroup, { all });
     }
   }
 
@@ -413,7 +549,7 @@
     std::map<std::size_t, std::uint32_t> placed;
     std::size_t task = 0;
     for (; task < aGroup.mIndexes.size(); ++task) {
-      auto const best = BestFit(aGroup, candidates, mFree, placed);
+      auto const best = BestFreeWorker(aGroup, candidates, placed);
       if (!best) {
         break;
       }
@@ -421,10 +557,37 @@
       Start(aGroup, task, *best);
     }
     if (task < aGroup.mIndexes.size() && MayPreempt(aGroup)) {
-      auto remaining = aGroup;
-      remaining.mIndexes.erase(remaining.mIndexes.begin(),
-                               remaining.mIndexes.begin() + static_cast<std::ptrdiff_t>(task));
-      Preempt(remaining, { candidates });
+      auto const remaining = Remaining(aGroup, task);
+      if (!Preempt(remaining, { candidates }) && aGroup.mIsGuaranteed) {
+        PlaceAnywhere(remaining, std::move(placed));
+      }
+    }
+  }
+
+  static waiting_group Remaining(waiting_group const& aGroup, std::size_t aPlaced)
+  {
+    auto remaining = aGroup;
+    remaining.mIndexes.erase(remaining.mIndexes.begin(),
+                             remaining.mIndexes.begin() + static_cast<std::ptrdiff_t>(aPlaced));
+    return remaining;
+  }
+
+  /// Places independent tasks of a guaranteed group whose preferred workers have runs that may not
+  /// be stopped.
+  void PlaceAnywhere(waiting_group const& aGroup, std::map<std::size_t, std::uint32_t> aPlaced)
+  {
+    auto const all = Candidates(aGroup, kNoPreferences);
+    std::size_t task = 0;
+    for (; task < aGroup.mIndexes.size(); ++task) {
+      auto const best = BestFit(aGroup, all, mFree, aPlaced, kNoPreferences);
+      if (!best) {
+        break;
+      }
+      ++aPlaced[*best];
+      Start(aGroup, task, *best);
+    }
+    if (task < aGroup.mIndexes.size()) {
+      Preempt(Remaining(aGroup, task), { all });
     }
   }
 
@@ -562,7 +725,9 @@
     return result;
   }
 
-  void Preempt(waiting_group const& aGroup, std::vector<positions> const& aDomains)
+  /// Stops the cheapest runs that free enough resources in one of the domains, and claims these.
+  /// Returns false if there are none that may be stopped.
+  bool Preempt(waiting_group const& aGroup, std::vector<positions> const& aDomains)
   {
     std::optional<preemption_plan> best;
     for (auto const& members : aDomains) {
@@ -572,7 +737,7 @@
       }
     }
     if (!best || (!aGroup.mIsGuaranteed && best->mCost.mLostWork > aGroup.mPreemptionBudget)) {
-      return;
+      return false;
     }
     for (auto const run : best->mPreempted) {
       mIsStopped[run] = true;
@@ -582,6 +747,7 @@
     }
     Reserve(aGroup, best->mChosen);
     RecordClaim(aGroup, best->mChosen, mNow);
+    return true;
   }
 
   std::vector<worker_snapshot> mWorkers;
@@ -596,8 +762,13 @@
   std::map<std::string, std::size_t> mIndex;
   /// Resources that are free now, less those assigned or reserved in this round.
   resources_by_worker mFree;
+  /// Resources that are reserved for groups that wait for stops, but for guaranteed ones; not part
+  /// of mFree.
+  resources_by_worker mReserved;
   /// Resources that are free once all stopping runs have ended.
   resources_by_worker mFreeAfterStops;
+  /// Jobs with a start in this decision.
+  std::set<std::string> mStartedJobs;
   placement_decision mDecision;
 };
 
@@ -606,11 +777,17 @@
 bool MeetsRequirements(waiting_group const& aGroup, worker_snapshot const& aWorker)
 {
   auto const& shape = *aGroup.mShape;
-  return aWorker.mAcceptsStarts && aWorker.mService == aGroup.mService &&
+  return aWorker.AcceptsStarts() && aWorker.mService == aGroup.mService &&
          aWorker.mCapacity.Covers(ReservedDemand(shape)) &&
          (shape.mRequiredLabel.empty() || Contains(aWorker.mLabels, shape.mRequiredLabel));
 }
 
+bool AvoidsSuspect(waiting_group const& aGroup, worker_snapshot const& aWorker)
+{
+  return aWorker.mIsSuspect && (aGroup.mPriority == 0 || aGroup.mIsLastAttempt ||
+                                aGroup.mShape->mIsGang || aWorker.mHasRuns);
+}
+
 resources ReservedDemand(job_step const& aStep)
 {
   auto demand = aStep.mDemand;
@@ -626,6 +803,15 @@
          static_cast<double>(aDemand.mAccelerators) * kCoresPerAccelerator;
 }
 
+void service_load::Add(worker_snapshot const& aWorker)
+{
+  if (aWorker.mBarrier == start_obstacle::none || aWorker.mBarrier == start_obstacle::paused ||
+      aWorker.mBarrier == start_obstacle::quarantined) {
+    mCapacity += WeightInCores(aWorker.mCapacity);
+    mFree += WeightInCores(aWorker.mFree);
+  }
+}
+
 placement_decision DecidePlacement(std::vector<worker_snapshot> aWorkers,
                                    std::vector<waiting_group> const& aGroups,
                                    std::vector<preemptible_run> const& aRuns,
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/set_aside_limit.h"
 
 #include <algorithm>
 
@@ -62,8 +63,42 @@
 /// discarded work is done again later, while other jobs wait for it.
 constexpr double kPreemptionBudgetShare = 0.5;
 
-/// At most this share of the workers is quarantined or suspect; the others are used as usual.
-constexpr double kMaximumShareSetAside = 0.34;
+/// Whether a run of the job is listed, or has just been ordered.
+bool IsAnyRunning(job_record const& aJob, base::time_point aNow)
+{
+  auto const& description = aJob.Description();
+  for (std::uint32_t occurrence = 0; occurrence < description.Runs(); ++occurrence) {
+    for (std::uint32_t step = 0; step < description.mSteps.size(); ++step) {
+      if (std::ranges::any_of(aJob.Tasks(occurrence, step), [&](tracked_task const& aTask) {
+            auto const isOrdered =
+              aTask.mRunStatus == run_status::planned || aTask.mRunStatus == run_status::starting;
+            return aTask.mState.mStatus == task_status::active &&
+                   (aTask.mRunStatus == run_status::running ||
+                    (isOrdered && aNow - aTask.mRunStatusSince < kLongestPreference));
+          })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// What keeps all starts from a worker, apart from its health.
+start_obstacle Barrier(bool aIsLinked, side_report const& aReport, bool aIsEvacuated,
+                       bool aIsPaused)
+{
+  if (!aIsLinked || aReport.mState == worker_state::absent ||
+      aReport.mState == worker_state::gone) {
+    return start_obstacle::absent;
+  }
+  if (aReport.mState != worker_state::ready) {
+    return start_obstacle::draining;
+  }
+  if (aIsEvacuated) {
+    return start_obstacle::evacuated;
+  }
+  return aIsPaused ? start_obstacle::paused : start_obstacle::none;
+}
 
 } // namespace
 
@@ -84,7 +119,6 @@
 {
   std::vector<worker_snapshot> snapshots;
   std::map<std::string, std::size_t> index;
-  std::size_t setAside = 0;
   for (auto const& [node, session] : mSessions) {
     if (!session->mHasReport) {
       continue;
@@ -96,20 +130,20 @@
                               .mLabels = report.mLabels,
                               .mCapacity = report.mCapacity,
                               .mFree = report.mCapacity };
-    snapshot.mAcceptsStarts = session->mLink && report.mState == worker_state::ready &&
-                              aNow >= session->mStartsPausedUntil &&
-                              !mOptions.mReplica.Evacuations().contains(report.mDomain);
-    auto const isQuarantined = session->mHealth.IsQuarantined(aNow);
-    if (snapshot.mAcceptsStarts && (isQuarantined || session->mHealth.IsSuspect(aNow)) &&
-        static_cast<double>(setAside + 1) <=
-          kMaximumShareSetAside * static_cast<double>(mSessions.size())) {
-      snapshot.mAcceptsStarts = !isQuarantined;
-      snapshot.mIsSuspect = !isQuarantined;
-      ++setAside;
+    snapshot.mBarrier = Barrier(session->mLink != nullptr, report,
+                                mOptions.mReplica.Evacuations().contains(report.mDomain),
+                                aNow < session->mStartsPausedUntil);
+    if (snapshot.AcceptsStarts()) {
+      if (session->mHealth.IsQuarantined(aNow)) {
+        snapshot.mBarrier = start_obstacle::quarantined;
+      } else {
+        snapshot.mIsSuspect = session->mHealth.IsSuspect(aNow);
+      }
     }
     index[node] = snapshots.size();
     snapshots.push_back(std::move(snapshot));
   }
+  LimitSetAside(snapshots);
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const found = index.find(aTask.mState.mWorker);
     if (found == index.end()) {
@@ -172,6 +206,7 @@
   auto const& description = aJob.Description();
   auto const* const queue = QueueOf(aJob);
   auto const wallMs = base::WallClockMilliseconds();
+  std::optional<bool> isJobRunning;
   for (std::uint32_t occurrence = 0; occurrence < description.Runs(); ++occurrence) {
     if (!IsDue(description, occurrence, wallMs)) {
       break;
@@ -189,6 +224,7 @@
                            .mPriority = PriorityOf(aJob),
                            .mIsGuaranteed = aIsGuaranteed };
       auto const expected = ExpectedRunTime(aJob, shape);
+      group.mExpectedRunTime = expected;
       group.mDueBy = DueBy(aJob, queue, occurrence, expected, aNow, wallMs);
       group.mIsLate = aNow + expected > group.mDueBy;
       if (mAdvice && queue != nullptr && queue->mAdvice) {
@@ -196,10 +232,16 @@
       }
       bool isAnyActive = false;
       auto const attempts = queue == nullptr ? 1U : queue->mMaximumAttempts;
-      auto const& tasks = aJob.Tasks(occurrence, step);
+      auto& tasks = aJob.Tasks(occurrence, step);
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        auto const& task = tasks[index];
+        auto& task = tasks[index];
         if (task.mState.mStatus == task_status::waiting) {
+          if (task.mWaitingSince == base::time_point{}) {
+            task.mWaitingSince = aNow;
+          }
+          group.mWaitingSince = group.mIndexes.empty()
+                                  ? task.mWaitingSince
+                                  : std::min(group.mWaitingSince, task.mWaitingSince);
           group.mIndexes.push_back(index);
           auto const& counted = shape.mIsGang ? tasks.front() : task;
           group.mIsLastAttempt = group.mIsLastAttempt || counted.mState.mFailures + 1 >= attempts;
@@ -208,6 +250,10 @@
           }
         } else if (task.mState.mStatus == task_status::active) {
           isAnyActive = true;
+          // An order that comes to nothing does not end the wait; a listed run does.
+          if (task.mRunStatus == run_status::running) {
+            task.mWaitingSince = {};
+          }
           ++group.mRunningOn[task.mState.mWorker];
         }
       }
@@ -217,6 +263,10 @@
                                   std::chrono::duration<double>(expected).count();
       }
       if (!group.mIndexes.empty() && !(shape.mIsGang && isAnyActive)) {
+        if (!isJobRunning) {
+          isJobRunning = IsAnyRunning(aJob, aNow);
+        }
+        group.mIsJobRunning = *isJobRunning;
         aGroups.push_back(std::move(group));
       }
     }
