Dispatch: Renew a lease only on answers to reports that name its worker

Cause: a restarted side reports before it knows its worker. The answer to such a report let it renew the worker's lease for 3 s. The scheduler counts the lease from the first report of the new process, as that process renews nothing of the worker; if the link was lost before the next report, it would have started the task again up to 4.5 s (two reports apart, 3 s of renewals) too early, beside the run that still worked. Change: when a side learns of a new incarnation, answers to earlier reports no longer count. Result: side_agent_test/an_answer_renews_only_leases_of_the_incarnation_that_the_report_names failed before ("mLeaseLeft < MaximumRealTime(kLeaseLength) - 2000 ms" at the last report) and passes after.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -126,6 +126,10 @@
     mLease = {};
     mLease.mReadAt = base::Now();
     mLease.mLatestDeadlineMs = NextDeadline();
+    // The scheduler knows of leases of this incarnation only from reports that name it, so answers
+    // to earlier reports do not allow to renew them.
+    mSentReports.clear();
+    mAnsweredReportSentAt = {};
     mAcknowledged = 0;
     mResults.clear();
     mResultsAwaitingRunLists.clear();
--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/lease_timing.h"
 #include "net/link_dialer.h"
 #include "platform/tests/test_side.h"
 
@@ -123,6 +124,25 @@
   }
 }
 
+// Guards against two runs at once: a side that was restarted renewed a lease on the answer to a
+// report that did not name the worker, so the scheduler took the run to have ended earlier.
+BOOST_AUTO_TEST_CASE(an_answer_renews_only_leases_of_the_incarnation_that_the_report_names)
+{
+  linked_side linked;
+  auto const& reports = linked.mReports;
+  BOOST_REQUIRE(linked.RunUntil([&] { return !reports.empty(); }));
+  BOOST_REQUIRE(reports.back().mIncarnationStart == 0);
+  linked.mLink->Send(
+    dispatch::side_orders{ .mTerm = 1, .mAnsweredReport = reports.back().mSequence });
+  linked.RunUntil([] { return false; }, milliseconds{ 100 });
+  linked.mSide.SendHeartbeat();
+  // No further report is answered; the lease is not renewed.
+  linked.RunUntil([] { return false; }, milliseconds{ 3300 });
+  BOOST_REQUIRE(reports.back().mIncarnationStart != 0);
+  BOOST_TEST((reports.back().mLeaseLeft <
+              dispatch::MaximumRealTime(dispatch::kLeaseLength) - milliseconds{ 2000 }));
+}
+
 // Guards against orders whose attempts are used up within milliseconds: the worker resets
 // connections for a moment (workers that go down and up by turns).
 BOOST_AUTO_TEST_CASE(a_stop_outlasts_a_short_absence_of_the_worker)
