Dispatch: Know since when a side is silent across changes of the scheduler

Callers would see an accepted task wait 17.6 s (15.3 s where leases last 6 s) after each change of the scheduler although its worker and side were lost before; with two changes in series, past the time after which it is judged as lost.

Cause: a new holder does not know which reports the former one answered. It counted the lease of a worker that it cannot reach from its own takeover, and 6 s more for a former holder that may not know that it was replaced. Change: the holder lists sides with runs that have not reported for 2 s in the row silent-sides, each with the time on the store's clock since which no report was answered. From the decision to list a side until the removal of its entry is committed, no holder answers its reports, so it renews no lease and carries out no start. Each write expects the term and the version of the row that it replaces, so that a late write cannot list a side that is answered again. The next holder counts from the listed time. A holder that released its term adds no 6 s, unless one before it may still be active.

--- a/source/dispatch/lease_evidence.cpp
+++ b/source/dispatch/lease_evidence.cpp
@@ -4,8 +4,8 @@
 
 namespace rattanpond::dispatch {
 
-lease_evidence::lease_evidence(base::time_point aHolderSince, base::milliseconds aMaximumLease)
-  : mHolderSince{ aHolderSince }
+lease_evidence::lease_evidence(base::time_point aUnansweredSince, base::milliseconds aMaximumLease)
+  : mUnansweredSince{ aUnansweredSince }
   , mLeaseLength{ MaximumRealTime(std::min(kLeaseLength, aMaximumLease)) }
   , mExpiryBound{ LeaseExpiryBound(aMaximumLease) }
 {
@@ -16,6 +16,7 @@
   if (!mFirstReportAt) {
     mFirstReportAt = aNow;
   }
+  mLastReportAt = aNow;
   if (aReport.mIncarnationStart == 0 || aReport.mIncarnationStart < mIncarnationStart) {
     // A side never forgets an incarnation, so another process of the side has replaced it.
     if (!mSideReplacedAt) {
@@ -42,9 +43,8 @@
     // the side renews nothing before it knows the incarnation.
     return Earlier({ mReportedAt + mExpiryBound, lease_end::silence }, mSideReplacedAt);
   }
-  // The former holder may have renewed leases until its kMaximumStoreSilence ended.
-  return Earlier({ mHolderSince + kMaximumStoreSilence + mExpiryBound, lease_end::takeover },
-                 mFirstReportAt);
+  // A former holder may have renewed leases until then.
+  return Earlier({ mUnansweredSince + mExpiryBound, lease_end::takeover }, mFirstReportAt);
 }
 
 lease_evidence::latest_end lease_evidence::Earlier(
--- a/source/dispatch/lease_evidence.h
+++ b/source/dispatch/lease_evidence.h
@@ -3,6 +3,7 @@
 #include "base/enum_names.h"
 #include "base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -44,7 +45,8 @@
     lease_end mReason = lease_end::silence;
   };
 
-  lease_evidence(base::time_point aHolderSince, base::milliseconds aMaximumLease);
+  /// aUnansweredSince: the time since which no former holder has answered the side.
+  lease_evidence(base::time_point aUnansweredSince, base::milliseconds aMaximumLease);
 
   void RecordReport(report const& aReport, base::time_point aNow);
 
@@ -52,15 +54,21 @@
   /// otherwise. Always finite, so that no run is waited for without end.
   latest_end RunsEndBy(std::int64_t aIncarnationStart) const;
 
+  /// Last report of whatever incarnation; the earliest time if there was none.
+  base::time_point LastReportAt() const { return mLastReportAt; }
+  /// Time since which no holder has answered a report that the side sent later.
+  base::time_point UnansweredSince() const { return std::max(mUnansweredSince, mLastReportAt); }
+
 private:
   latest_end Earlier(latest_end const& aEnd,
                      std::optional<base::time_point> const& aSideReplacedAt) const;
 
-  base::time_point mHolderSince{};
+  base::time_point mUnansweredSince{};
   base::milliseconds mLeaseLength{ 0 };
   base::milliseconds mExpiryBound{ 0 };
   /// First report since the takeover, of whatever incarnation.
   std::optional<base::time_point> mFirstReportAt;
+  base::time_point mLastReportAt{};
   /// The newest incarnation reported, and its last report.
   std::int64_t mIncarnationStart = 0;
   base::time_point mReportedAt{};
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -239,6 +239,9 @@
     ApplyTermHeartbeat(aRow);
   } else if (aRow.mKey == kRunTimesKey) {
     mRunTimes = aRow.mValue;
+  } else if (aRow.mKey == kSilentSidesKey) {
+    mSilentSides = aRow.mValue;
+    mSilentSidesVersion = aRow.mIsDeleted ? 0 : aRow.mVersion;
   }
 }
 
@@ -298,6 +301,7 @@
   }
   mTerm = std::move(*term);
   mTermVersion = aRow.mVersion;
+  mSuccession.RecordTerm(mTerm.mNumber, aRow.mVersion, base::Now());
   mLease.SetHeld();
   mLease.RecordVersion(aRow.mVersion, base::Now());
   base::Log("replica")->info("term number={} holder={} version={}", mTerm.mNumber, mTerm.mNode,
@@ -309,6 +313,7 @@
   mLease.RecordVersion(aRow.mVersion, base::Now());
   if (aRow.mValue == "released") {
     mLease.SetReleased();
+    mSuccession.RecordRelease(aRow.mVersion);
   }
 }
 
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -4,6 +4,7 @@
 #include "dispatch/job_record.h"
 #include "dispatch/operator_configuration.h"
 #include "dispatch/term_lease.h"
+#include "dispatch/term_succession.h"
 #include "platform/row_store.h"
 
 #include <functional>
@@ -20,6 +21,7 @@
 inline constexpr char const* kTermKey = "term";
 inline constexpr char const* kTermHeartbeatKey = "pulse";
 inline constexpr char const* kRunTimesKey = "run-times";
+inline constexpr char const* kSilentSidesKey = "silent-sides";
 inline constexpr char const* kJobPrefix = "job/";
 inline constexpr char const* kStatePrefix = "run/";
 inline constexpr char const* kCancellationPrefix = "stop/";
@@ -88,8 +90,18 @@
   term_record const& Term() const { return mTerm; }
   std::uint64_t TermVersion() const { return mTermVersion; }
   term_lease& Lease() { return mLease; }
+  term_succession const& Succession() const { return mSuccession; }
+  /// Whether all rows up to a version have been read.
+  bool IsCompleteUpTo(std::uint64_t aVersion) const
+  {
+    return mDispatchRows.mIsLoaded && mDispatchRows.mVersion >= aVersion;
+  }
   /// The scheduler's run-time statistics in their stored form.
   std::string const& RunTimes() const { return mRunTimes; }
+  /// The list of silent sides in its stored form, and the version of its row; empty and 0 if there
+  /// is none.
+  std::string const& SilentSides() const { return mSilentSides; }
+  std::uint64_t SilentSidesVersion() const { return mSilentSidesVersion; }
   address_map const& Sides() const { return mSides; }
   address_map const& Fronts() const { return mFronts; }
 
@@ -155,7 +167,10 @@
   term_record mTerm;
   std::uint64_t mTermVersion = 0;
   term_lease mLease;
+  term_succession mSuccession;
   std::string mRunTimes;
+  std::string mSilentSides;
+  std::uint64_t mSilentSidesVersion = 0;
   std::shared_ptr<operator_configuration const> mConfiguration;
   std::uint64_t mConfigurationRowVersion = 0;
   std::map<std::string, std::uint64_t> mEvacuations;
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -103,6 +103,7 @@
     StepDown("another front holds the term");
   }
   if (mIsHolder) {
+    AdoptSilentSides();
     SynchronizeSessions();
     ApplyCancellations();
     SchedulePlanning();
@@ -115,6 +116,9 @@
   mTerm = mOptions.mReplica.Term().mNumber;
   mHolderSince = base::Now();
   mLeases.clear();
+  mFormerHoldersStopBy = mOptions.mReplica.Succession().FormerHoldersStopBy();
+  mSilentSides = {};
+  mUnansweredSince.clear();
   mClaims.clear();
   mDirty.clear();
   mPlanned.clear();
@@ -201,6 +205,7 @@
     StopStalledRuns(now);
     StopDepartingRuns(now);
     StoreCheckpoints(now);
+    WatchSilentSides(now);
     ExpireLeases(now);
     WatchUnknownEnds(now);
     SendPendingStops();
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -9,6 +9,7 @@
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
 #include "dispatch/run_time_estimator.h"
+#include "dispatch/silent_sides.h"
 #include "dispatch/stop_rate_limiter.h"
 #include "dispatch/worker_health.h"
 #include "net/link_dialer.h"
@@ -61,6 +62,8 @@
     bool mHasReport = false;
     side_report mReport;
     base::time_point mReportedAt{};
+    /// Whether the last orders did not answer a report, as the store may list the side as silent.
+    bool mIsAnswerWithheld = false;
     /// Highest run end that is recorded in memory, and in the store.
     std::int64_t mRecordedEnd = 0;
     std::int64_t mStoredEnd = 0;
@@ -144,6 +147,14 @@
   void UpdatePhase(job_record& aJob);
   void RecordJobEnd(std::string const& aId);
   void ApplyCancellations();
+  /// Takes over the list of silent sides once it is certainly complete.
+  void AdoptSilentSides();
+  /// Lists sides with runs that have gone silent and removes those that report again.
+  void WatchSilentSides(base::time_point aNow);
+  void StoreSilentSides();
+  boost::asio::awaitable<void> CommitSilentSides();
+  /// Evidence about the lease of a worker whose side has not reported since the takeover.
+  lease_evidence NewLeaseEvidence(std::string const& aNode) const;
   /// Latest end of the run if no further report of its worker arrives.
   lease_evidence::latest_end LatestEnd(task_state const& aRun) const;
   void ExpireLeases(base::time_point aNow);
@@ -197,6 +208,11 @@
   std::map<std::string, std::unique_ptr<session>> mSessions;
   /// By node; outlives the session, which a new address of the side replaces.
   std::map<std::string, lease_evidence> mLeases;
+  /// Time by which every former holder has stopped answering reports.
+  base::time_point mFormerHoldersStopBy{};
+  silent_sides mSilentSides;
+  /// By node: the sides that were listed as silent at the takeover, since when.
+  std::map<std::string, base::time_point> mUnansweredSince;
   base::time_point mOverdueLoggedAt{};
   std::set<std::string> mDirty;
   std::vector<planned_start> mPlanned;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -97,7 +97,7 @@
                               .mCapacity = report.mCapacity,
                               .mFree = report.mCapacity };
     snapshot.mAcceptsStarts = session->mLink && report.mState == worker_state::ready &&
-                              aNow >= session->mStartsPausedUntil &&
+                              mSilentSides.MayAnswer(node) && aNow >= session->mStartsPausedUntil &&
                               !mOptions.mReplica.Evacuations().contains(report.mDomain);
     auto const isQuarantined = session->mHealth.IsQuarantined(aNow);
     if (snapshot.mAcceptsStarts && (isQuarantined || session->mHealth.IsSuspect(aNow)) &&
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -101,11 +101,15 @@
   }
   aSession.mHasReport = true;
   aSession.mReportedAt = now;
-  mLeases.try_emplace(aSession.mNode, mHolderSince, mOptions.mSettings.mMaximumLease)
+  mLeases.try_emplace(aSession.mNode, NewLeaseEvidence(aSession.mNode))
     .first->second.RecordReport(
       { .mIncarnationStart = aReport.mIncarnationStart,
         .mIsLeaseOver = aReport.mState == worker_state::absent && aReport.mLeaseLeft.count() == 0 },
       now);
+  if (!mSilentSides.MayAnswer(aSession.mNode)) {
+    mSilentSides.Remove(aSession.mNode);
+    StoreSilentSides();
+  }
   aSession.mReport = std::move(aReport);
   auto const& report = aSession.mReport;
   std::set<std::string> listed;
@@ -503,9 +507,10 @@
     return;
   }
   auto const age = base::Now() - mOptions.mReplica.JobsConfirmedAt();
+  aSession.mIsAnswerWithheld = !mSilentSides.MayAnswer(aSession.mNode);
+  auto const mayAnswer = age <= kMaximumStoreSilence && !aSession.mIsAnswerWithheld;
   side_orders orders{ .mTerm = mTerm,
-                      .mAnsweredReport =
-                        age > kMaximumStoreSilence ? kNoReport : aSession.mReport.mSequence,
+                      .mAnsweredReport = mayAnswer ? aSession.mReport.mSequence : kNoReport,
                       .mWorker = aSession.mReport.mWorker,
                       .mIncarnationStart = aSession.mReport.mIncarnationStart,
                       .mAcknowledged = aSession.mStoredEnd,
@@ -578,8 +583,7 @@
 {
   auto const found = mLeases.find(aRun.mWorker);
   return found == mLeases.end()
-           ? lease_evidence{ mHolderSince, mOptions.mSettings.mMaximumLease }.RunsEndBy(
-               aRun.mWorkerIncarnationStart)
+           ? NewLeaseEvidence(aRun.mWorker).RunsEndBy(aRun.mWorkerIncarnationStart)
            : found->second.RunsEndBy(aRun.mWorkerIncarnationStart);
 }
 
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -127,6 +127,7 @@
                                            base::milliseconds aTimeout)
 {
   auto request = net::JsonRequest("POST", "/api/rows-tx", EncodeTransaction(aTransaction));
+  auto const sentAt = base::Now();
   auto const answer = co_await mClient.Send(std::move(request), aTimeout);
   if (!base::Succeeded(answer)) {
     auto const code = base::Error(answer).mCode;
@@ -136,6 +137,7 @@
   }
   auto const& response = std::get<0>(answer);
   auto const document = base::json::parse(response.mBody, nullptr, false);
+  RecordClock(document, sentAt);
   commit_result result;
   if (response.mStatus == 200) {
     result.mOutcome = commit_outcome::committed;
@@ -151,11 +153,25 @@
   co_return result;
 }
 
+void row_store::RecordClock(base::json const& aAnswer, base::time_point aSentAt)
+{
+  if (!aAnswer.is_object()) {
+    return;
+  }
+  auto const now = aAnswer.find("now_ms");
+  if (now != aAnswer.end() && now->is_number()) {
+    mClock.RecordAnswer({ .mSentAt = aSentAt,
+                          .mReceivedAt = base::Now(),
+                          .mStoreMs = static_cast<std::int64_t>(now->get<double>()) });
+  }
+}
+
 awaitable<read_result> row_store::Read(std::string aTarget, base::milliseconds aTimeout,
                                        bool& aHasMore)
 {
   aHasMore = false;
   net::http_request request{ .mMethod = "GET", .mTarget = std::move(aTarget) };
+  auto const sentAt = base::Now();
   auto const answer = co_await mClient.Send(std::move(request), aTimeout);
   read_result result;
   if (!base::Succeeded(answer)) {
@@ -167,6 +183,7 @@
     co_return result;
   }
   auto const document = base::json::parse(response.mBody, nullptr, false);
+  RecordClock(document, sentAt);
   auto const version = DecodeVersion(document);
   if (response.mStatus != 200 || !version) {
     co_return result;
--- a/source/platform/row_store.h
+++ b/source/platform/row_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_client.h"
+#include "platform/store_clock.h"
 
 #include <cstdint>
 #include <optional>
@@ -96,11 +97,16 @@
   boost::asio::awaitable<read_result> Follow(std::string aTable, std::uint64_t aAfter,
                                              base::milliseconds aWait);
 
+  /// Relates the store's clock to base::Now; updated by each answer.
+  store_clock const& Clock() const { return mClock; }
+
 private:
   boost::asio::awaitable<read_result> Read(std::string aTarget, base::milliseconds aTimeout,
                                            bool& aHasMore);
+  void RecordClock(base::json const& aAnswer, base::time_point aSentAt);
 
   net::http_client mClient;
+  store_clock mClock;
 };
 
 } // namespace rattanpond::platform
