--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -83,11 +83,12 @@
   return false;
 }
 
-/// What keeps all starts from a worker, apart from its health.
-start_obstacle Barrier(bool aIsLinked, side_report const& aReport, bool aIsEvacuated,
+/// What keeps all starts from a worker, apart from its health. aIsAnswered: whether its side is
+/// linked and its reports may be answered.
+start_obstacle Barrier(bool aIsAnswered, side_report const& aReport, bool aIsEvacuated,
                        bool aIsPaused)
 {
-  if (!aIsLinked || aReport.mState == worker_state::absent ||
+  if (!aIsAnswered || aReport.mState == worker_state::absent ||
       aReport.mState == worker_state::gone) {
     return start_obstacle::absent;
   }
@@ -130,7 +131,7 @@
                               .mLabels = report.mLabels,
                               .mCapacity = report.mCapacity,
                               .mFree = report.mCapacity };
-    snapshot.mBarrier = Barrier(session->mLink != nullptr, report,
+    snapshot.mBarrier = Barrier(session->mLink != nullptr && mSilentSides.MayAnswer(node), report,
                                 mOptions.mReplica.Evacuations().contains(report.mDomain),
                                 aNow < session->mStartsPausedUntil);
     if (snapshot.AcceptsStarts()) {
