--- a/source/platform/tests/test_side.h
+++ b/source/platform/tests/test_side.h
@@ -45,7 +45,7 @@
 
   void SendHeartbeat(std::string const& aState = "ready")
   {
-    Agent().Heartbeat(mWorker.Id(), mWorker.Heartbeat(mDomain, "r1", aState));
+    Agent().Heartbeat(mWorker.Id(), mWorker.Heartbeat(mDomain, mRack, aState));
   }
 
   boost::asio::io_context& Context() { return mProcesses.back()->mContext; }
@@ -53,6 +53,7 @@
 
   fake_worker mWorker;
   std::string mDomain;
+  std::string mRack = "r1";
   deployment_settings mSettings;
   base::metrics_registry mMetrics;
   std::string mWorkerState = "ready";
