Dispatch: Keep a listed run whose start had no answer

Work was stopped and begun again although nothing was wrong with it: where all answers to a start were late, the scheduler stopped the run in the same report that listed it. Cause: an unknown outcome of a start was resolved by a stop without a look at the run lists, which are read after the results. Change: a run that these lists show as running goes on. An unknown outcome of a stop is handled as before. Result: a_listed_run_whose_start_had_no_answer_goes_on failed before (three starts instead of one within 4.6 s, answers 0.7 s late) and passes.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -422,6 +422,10 @@
         }
         break;
       case order_outcome::unknown:
+        if (isListed && task->mRunStatus == run_status::running) {
+          // The start was carried out, and only its answers were lost.
+          break;
+        }
         // A stop without an answer is sent again only after its timeout: for an unreachable worker,
         // each result would arrive within milliseconds and trigger the next stop.
         StopUncertainStart(*activeRun.mJob, activeRun.mPosition, "no answer to the start order");
--- a/source/platform/tests/lost_worker_test.cpp
+++ b/source/platform/tests/lost_worker_test.cpp
@@ -135,6 +135,24 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against work that is stopped although nothing is wrong with it: the start was carried out,
+// and only its answers were lost.
+BOOST_AUTO_TEST_CASE(a_listed_run_whose_start_had_no_answer_goes_on)
+{
+  test_cluster cluster{ 1, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 60'000 };
+    side->mWorker.mFaults.mOrderDelay = milliseconds{ 700 };
+  }
+  auto const id = JobId(47);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, JobBody(1, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 1; }));
+  cluster.RunFor(dispatch::StartExpiryBound(dispatch::kLeaseLength));
+  BOOST_TEST(cluster.mRecorder.ActiveRuns() == 1U);
+  BOOST_TEST(cluster.mRecorder.Starts(id + ".0.0.0") == 1U);
+  RequireNoFaults(cluster);
+}
+
 // Guards against a gang that holds its workers until its members give up: one worker went down for
 // a moment and reset the connection of its start (further-grown, trouble-3, seed 12: the members
 // waited 4 s, and the urgent job was late).
