Dispatch: Bound the wait for an unlisted run by its start's own deadline

Where the process of a side was replaced after a start without an answer, none knows of that start, and the scheduler waited until no lease could make it take effect: 14.7 s with leases of 8 s, longer than finish_s. Cause: the bound followed from the length of the lease. Change: it follows from the validity of a start: 1.8 s + 2.5 s / 0.98 + 0.2 s after the order, and 4.5 s for the age of run lists, 9.1 s. kMaximumRunListsAge is unchanged in value and stands with the other times. Result: a_worker_that_answers_no_order_releases_the_run_of_a_former_side failed before and passes; the decision falls with the first report after the bound, for which the test allows 2 s as the former one did.

--- a/source/dispatch/lease_timing.h
+++ b/source/dispatch/lease_timing.h
@@ -41,6 +41,11 @@
                                                        kMinimumClockRate) };
 }
 
+/// Longest time between the reading of run lists by a side and the receipt of its report: the lists
+/// of a worker that has not answered for 1.5 s are no longer reported, and a link without a message
+/// is closed after 3 s.
+inline constexpr base::milliseconds kMaximumRunListsAge{ 4500 };
+
 /// Time after a start order was issued from which no worker carries it out any more.
 inline base::milliseconds StartExpiryBound(base::milliseconds aMaximumLease)
 {
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -33,10 +33,6 @@
 /// Log interval, and number of runs logged each time, for runs whose end is overdue.
 constexpr milliseconds kOverdueLogInterval{ 5000 };
 constexpr std::int64_t kOverdueRunsLogged = 5;
-/// Longest time between the reading of run lists by a side and the receipt of its report: the lists
-/// of a worker that has not answered for 1.5 s are no longer reported, and a link without a message
-/// is closed after 3 s.
-constexpr milliseconds kMaximumRunListsAge{ 4500 };
 
 std::string RunKey(std::string const& aTask, std::uint32_t aRun)
 {
@@ -484,9 +480,7 @@
 void scheduler::StopUnlistedRuns(session& aSession, std::set<std::string> const& aListed)
 {
   auto const now = base::Now();
-  auto const startBound =
-    kMaximumOrderAge + MaximumRealTime(std::min(kLeaseLength, mOptions.mSettings.mMaximumLease)) +
-    kLeaseExpiryMargin + kMaximumRunListsAge;
+  auto const startBound = StartExpiryBound(mOptions.mSettings.mMaximumLease) + kMaximumRunListsAge;
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const isOnWorker =
       aTask.mState.mWorker == aSession.mNode &&
@@ -495,8 +489,9 @@
         aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
       return;
     }
-    // A worker may leave stops unanswered for good, but it refuses a start after its deadline. A
-    // run that was listed before is stopped first, as these lists may lack it by mistake.
+    // A worker may leave stops unanswered for good, but it refuses a start after its deadline. The
+    // side reports such a start, but not after its process was replaced. A run that was listed
+    // before is stopped first, as these lists may lack it by mistake.
     auto const orderedAt = aTask.mStartedAt == base::time_point{} ? mHolderSince : aTask.mStartedAt;
     if (aTask.mEndUnknownSince != base::time_point{} &&
         now - std::max(orderedAt, aTask.mEndUnknownSince) > startBound) {
--- a/source/platform/tests/lost_worker_test.cpp
+++ b/source/platform/tests/lost_worker_test.cpp
@@ -87,6 +87,25 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a run that is waited for as long as its worker leaves stops unanswered: the
+// process of the side that ordered the start is gone, and its successor does not know of it.
+BOOST_AUTO_TEST_CASE(a_worker_that_answers_no_order_releases_the_run_of_a_former_side)
+{
+  test_cluster cluster{ 1, 2 };
+  auto& silent = cluster.mSides[0];
+  silent->mWorker.mFaults.mOrderDelay = milliseconds{ 60'000 };
+  auto const id = JobId(48);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, JobBody(1, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return silent->mWorker.mStartCalls == 3; }));
+  silent->StartAgent(cluster.mStore);
+  constexpr milliseconds kStartAndReport{ 2000 };
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.mSides[1]->mWorker.mStarted == 1; },
+                              SilentStartBound(*cluster.Holder()) + dispatch::kMaximumRunListsAge +
+                                kStartAndReport));
+  BOOST_TEST(silent->mWorker.mStarted == 0U);
+  RequireNoFaults(cluster);
+}
+
 // Guards against accepted work that is judged as lost: the workers on which a task was started one
 // after the other answered no order, and each of them cost as much as its lease (the incident of
 // 2026-12-05, whose last runs ended 44 s before the judgement).
