Dispatch: Release unlisted runs of former terms by the worker's fence

After a change of the scheduler and of the side's process, the start of a former term on a worker that answers no order was waited for as in any other case, though it could not take effect any more. Cause: a worker refuses starts of former terms once it has seen the fence of a later one, also in a poll; reports did not tell under which term their run lists were read. Change: reports carry that term. A run that this holder neither ordered nor saw, and that lists read under its own term do not show, is released at once; its task prefers another worker. Result: a_run_of_a_former_term_is_released_by_the_first_lists_without_it failed before and passes.

--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -121,6 +121,8 @@
   std::vector<std::string> mLabels{};
   /// Whether the run lists are valid; they were read from the worker after all results below.
   bool mHasRunLists = false;
+  /// Term under which the run lists were read; the worker refuses orders of earlier terms since.
+  std::uint64_t mRunListsTerm = 0;
   std::vector<listed_run> mRunning{};
   std::vector<ended_run> mEnded{};
   std::vector<order_result> mResults{};
@@ -139,6 +141,7 @@
       base::Field("capacity", &side_report::mCapacity),
       base::Field("labels", &side_report::mLabels),
       base::Field("has_lists", &side_report::mHasRunLists),
+      base::Field("lists_term", &side_report::mRunListsTerm),
       base::Field("running", &side_report::mRunning), base::Field("ended", &side_report::mEnded),
       base::Field("results", &side_report::mResults),
       base::Field("lease_left_ms", &side_report::mLeaseLeft),
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -489,10 +489,17 @@
         aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
       return;
     }
+    auto const isOfFormerTerm = aTask.mStartedAt == base::time_point{};
+    if (isOfFormerTerm && aSession.mReport.mRunListsTerm >= mTerm) {
+      // The worker may be one that answers no order.
+      aTask.mFailedOn = aTask.mState.mWorker;
+      RequeueTask(aJob, aPosition, "not listed, and the worker refuses starts of former terms");
+      return;
+    }
     // A worker may leave stops unanswered for good, but it refuses a start after its deadline. The
     // side reports such a start, but not after its process was replaced. A run that was listed
     // before is stopped first, as these lists may lack it by mistake.
-    auto const orderedAt = aTask.mStartedAt == base::time_point{} ? mHolderSince : aTask.mStartedAt;
+    auto const orderedAt = isOfFormerTerm ? mHolderSince : aTask.mStartedAt;
     if (aTask.mEndUnknownSince != base::time_point{} &&
         now - std::max(orderedAt, aTask.mEndUnknownSince) > startBound) {
       aTask.mFailedOn = aTask.mState.mWorker;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -215,7 +215,7 @@
     values.mDeadlineMs = NextDeadline();
     mLease.mLatestDeadlineMs = std::max(mLease.mLatestDeadlineMs, values.mDeadlineMs);
   }
-  auto const poll = ++mPolls;
+  sent_poll const poll{ .mNumber = ++mPolls, .mTerm = values.mFence };
   auto answer = co_await mWorker->PollRuns(worker, values);
   if (!mHeartbeat || mHeartbeat->mIncarnationStart != incarnationStart) {
     co_return false;
@@ -229,11 +229,11 @@
   co_return true;
 }
 
-void side_agent::AcceptRunLists(platform::worker_run_lists aLists, std::uint64_t aPoll)
+void side_agent::AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll)
 {
   // Answers on different connections may arrive out of order; older run lists are ignored.
-  if (mHasRunLists &&
-      std::pair{ aLists.mClockMs, aPoll } < std::pair{ mLists.mClockMs, mRunListsPoll }) {
+  if (mHasRunLists && std::pair{ aLists.mClockMs, aPoll.mNumber } <
+                        std::pair{ mLists.mClockMs, mRunListsPoll.mNumber }) {
     return;
   }
   mRunListsPoll = aPoll;
@@ -384,6 +384,7 @@
     }
   }
   report.mHasRunLists = mHasRunLists && mState != worker_state::absent;
+  report.mRunListsTerm = mLists.mIsComplete ? mRunListsPoll.mTerm : 0;
   if (mHasRunLists) {
     report.mRunning = mLists.mRunning;
     std::ranges::copy_if(mLists.mEnded, std::back_inserter(report.mEnded),
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -53,6 +53,13 @@
     std::int64_t mConfirmedDeadlineMs = 0;
   };
 
+  struct sent_poll
+  {
+    std::uint64_t mNumber = 0;
+    /// The fence of the poll.
+    std::uint64_t mTerm = 0;
+  };
+
   /// A start that the worker has not answered.
   struct open_start
   {
@@ -89,7 +96,7 @@
   boost::asio::awaitable<order_result> ExecuteStop(stop_order aOrder);
   void HandleFrame(net::link_ptr const& aLink, net::frame const& aFrame);
   void HandleOrders(net::link_ptr const& aLink, side_orders aOrders);
-  void AcceptRunLists(platform::worker_run_lists aLists, std::uint64_t aPoll);
+  void AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll);
   void ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat);
   void RequestReport();
   void SendReport();
@@ -119,7 +126,7 @@
   base::time_point mRunListsReadAt{};
   /// Number of polls sent; mRunListsPoll is the one that returned mLists.
   std::uint64_t mPolls = 0;
-  std::uint64_t mRunListsPoll = 0;
+  sent_poll mRunListsPoll;
   lease_state mLease;
   std::int64_t mAcknowledged = 0;
 
--- a/source/platform/tests/lost_worker_test.cpp
+++ b/source/platform/tests/lost_worker_test.cpp
@@ -106,6 +106,26 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a run of a former term that is waited for although its worker, which answers run
+// lists but no order, has refused the starts of that term since it saw the fence of the next one.
+BOOST_AUTO_TEST_CASE(a_run_of_a_former_term_is_released_by_the_first_lists_without_it)
+{
+  test_cluster cluster{ 2, 2 };
+  auto& silent = cluster.mSides[0];
+  silent->mWorker.mFaults.mOrderDelay = milliseconds{ 60'000 };
+  auto const id = JobId(49);
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/u/" + id, JobBody(1, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return silent->mWorker.mStartCalls == 3; }));
+  silent->StartAgent(cluster.mStore);
+  cluster.Holder()->mIsFrozen = true;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+  constexpr milliseconds kReadAndReport{ 2500 };
+  BOOST_TEST(
+    cluster.RunUntil([&] { return cluster.mSides[1]->mWorker.mStarted == 1; }, kReadAndReport));
+  BOOST_TEST(silent->mWorker.mStarted == 0U);
+  RequireNoFaults(cluster);
+}
+
 // Guards against accepted work that is judged as lost: the workers on which a task was started one
 // after the other answered no order, and each of them cost as much as its lease (the incident of
 // 2026-12-05, whose last runs ended 44 s before the judgement).
