--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -73,7 +73,10 @@
   /// ending.
   stopped,
   /// The worker did not answer; it may still carry out the order.
-  unknown
+  unknown,
+  /// The worker did not answer the start; its clock has passed the deadline of the start, and it
+  /// does not have the run. The run did not start and never will.
+  expired
 };
 
 struct order_result
@@ -118,6 +121,8 @@
   std::vector<std::string> mLabels{};
   /// Whether the run lists are valid; they were read from the worker after all results below.
   bool mHasRunLists = false;
+  /// Term under which the run lists were read; the worker refuses orders of earlier terms since.
+  std::uint64_t mRunListsTerm = 0;
   std::vector<listed_run> mRunning{};
   std::vector<ended_run> mEnded{};
   std::vector<order_result> mResults{};
@@ -136,6 +141,7 @@
       base::Field("capacity", &side_report::mCapacity),
       base::Field("labels", &side_report::mLabels),
       base::Field("has_lists", &side_report::mHasRunLists),
+      base::Field("lists_term", &side_report::mRunListsTerm),
       base::Field("running", &side_report::mRunning), base::Field("ended", &side_report::mEnded),
       base::Field("results", &side_report::mResults),
       base::Field("lease_left_ms", &side_report::mLeaseLeft),
@@ -234,11 +240,11 @@
 struct rattanpond::base::enum_names<rattanpond::dispatch::order_outcome>
 {
   using outcome = rattanpond::dispatch::order_outcome;
-  static constexpr enum_name<outcome> kTable[] = { { outcome::started, "started" },
-                                                   { outcome::not_started, "not_started" },
-                                                   { outcome::no_room, "no_room" },
-                                                   { outcome::stopped, "stopped" },
-                                                   { outcome::unknown, "unknown" } };
+  static constexpr enum_name<outcome> kTable[] = {
+    { outcome::started, "started" }, { outcome::not_started, "not_started" },
+    { outcome::no_room, "no_room" }, { outcome::stopped, "stopped" },
+    { outcome::unknown, "unknown" }, { outcome::expired, "expired" }
+  };
 };
 
 template<>
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -41,10 +41,6 @@
 constexpr milliseconds kStartScanInterval{ 1000 };
 constexpr std::size_t kOverdueStartsLogged = 5;
 constexpr std::size_t kOverdueStartsKept = 20;
-/// Longest time between the reading of run lists by a side and the receipt of its report: the lists
-/// of a worker that has not answered for 1.5 s are no longer reported, and a link without a message
-/// is closed after 3 s.
-constexpr milliseconds kMaximumRunListsAge{ 4500 };
 
 std::string RunKey(std::string const& aTask, std::uint32_t aRun)
 {
@@ -425,7 +421,19 @@
           RequeueTask(*activeRun.mJob, activeRun.mPosition, "stopped before the worker listed it");
         }
         break;
+      case order_outcome::expired:
+        mOptions.mMetrics.Counter("rattanpond_starts_expired").Add();
+        if (!isListed) {
+          aSession.mHealth.Unresponsive(base::Now());
+          task->mFailedOn = aSession.mNode;
+          RequeueTask(*activeRun.mJob, activeRun.mPosition, result.mDetail);
+        }
+        break;
       case order_outcome::unknown:
+        if (isListed && task->mRunStatus == run_status::running) {
+          // The start was carried out, and only its answers were lost.
+          break;
+        }
         // A stop without an answer is sent again only after its timeout: for an unreachable worker,
         // each result would arrive within milliseconds and trigger the next stop.
         StopUncertainStart(*activeRun.mJob, activeRun.mPosition, "no answer to the start order");
@@ -484,9 +492,7 @@
 void scheduler::StopUnlistedRuns(session& aSession, std::set<std::string> const& aListed)
 {
   auto const now = base::Now();
-  auto const startBound =
-    kMaximumOrderAge + MaximumRealTime(std::min(kLeaseLength, mOptions.mSettings.mMaximumLease)) +
-    kLeaseExpiryMargin + kMaximumRunListsAge;
+  auto const startBound = StartExpiryBound(mOptions.mSettings.mMaximumLease) + kMaximumRunListsAge;
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     auto const isOnWorker =
       aTask.mState.mWorker == aSession.mNode &&
@@ -495,9 +501,17 @@
         aListed.contains(RunKey(TaskName(aJob.Id(), aPosition), aTask.mState.mRun))) {
       return;
     }
-    // A worker may leave stops unanswered for good, but it refuses a start after its deadline. A
-    // run that was listed before is stopped first, as these lists may lack it by mistake.
-    auto const orderedAt = aTask.mStartedAt == base::time_point{} ? mHolderSince : aTask.mStartedAt;
+    auto const isOfFormerTerm = aTask.mStartedAt == base::time_point{};
+    if (isOfFormerTerm && aSession.mReport.mRunListsTerm >= mTerm) {
+      // The worker may be one that answers no order.
+      aTask.mFailedOn = aTask.mState.mWorker;
+      RequeueTask(aJob, aPosition, "not listed, and the worker refuses starts of former terms");
+      return;
+    }
+    // A worker may leave stops unanswered for good, but it refuses a start after its deadline. The
+    // side reports such a start, but not after its process was replaced. A run that was listed
+    // before is stopped first, as these lists may lack it by mistake.
+    auto const orderedAt = isOfFormerTerm ? mHolderSince : aTask.mStartedAt;
     if (aTask.mEndUnknownSince != base::time_point{} &&
         now - std::max(orderedAt, aTask.mEndUnknownSince) > startBound) {
       aTask.mFailedOn = aTask.mState.mWorker;
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -49,8 +49,29 @@
     std::int64_t mClockMs = 0;
     base::time_point mReadAt{};
     std::int64_t mLatestDeadlineMs = 0;
+    /// Latest lease deadline that the worker has certainly received.
+    std::int64_t mConfirmedDeadlineMs = 0;
   };
 
+  struct sent_poll
+  {
+    std::uint64_t mNumber = 0;
+    /// The fence of the poll.
+    std::uint64_t mTerm = 0;
+  };
+
+  /// A start that the worker has not answered.
+  struct open_start
+  {
+    /// Latest deadline of its attempts, on the worker's clock.
+    std::int64_t mDeadlineMs = 0;
+    /// Whether further attempts may follow.
+    bool mIsExecuting = true;
+  };
+
+  /// Task and number of a run.
+  using run_key = std::pair<std::string, std::uint32_t>;
+
   /// An order that has not been carried out; exactly one of the first three members is set.
   struct pending_order
   {
@@ -75,11 +96,17 @@
   boost::asio::awaitable<order_result> ExecuteStop(stop_order aOrder);
   void HandleFrame(net::link_ptr const& aLink, net::frame const& aFrame);
   void HandleOrders(net::link_ptr const& aLink, side_orders aOrders);
-  void AcceptRunLists(platform::worker_run_lists aLists, std::uint64_t aPoll);
+  void AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll);
   void ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat);
   void RequestReport();
   void SendReport();
   std::int64_t NextDeadline() const;
+  std::int64_t StartDeadline() const;
+  /// Maximum wait of the next poll; it ends soon after the deadline of an open start.
+  base::milliseconds PollWait() const;
+  /// Determines from the run lists which of the starts without an answer have taken effect, and
+  /// which never will.
+  void SettleOpenStarts();
   bool MayRenewLease(base::time_point aNow) const;
   base::milliseconds LeaseLeft(base::time_point aNow) const;
 
@@ -99,7 +126,7 @@
   base::time_point mRunListsReadAt{};
   /// Number of polls sent; mRunListsPoll is the one that returned mLists.
   std::uint64_t mPolls = 0;
-  std::uint64_t mRunListsPoll = 0;
+  sent_poll mRunListsPoll;
   lease_state mLease;
   std::int64_t mAcknowledged = 0;
 
@@ -111,6 +138,10 @@
   /// Order results that are reported once the run lists have been read after them.
   std::vector<order_result> mResultsAwaitingRunLists;
   std::vector<order_result> mResults;
+  std::map<run_key, open_start> mOpenStarts;
+  /// Starts that never took effect, and the first report with that result; 0 before the first. They
+  /// are reported until one of the reports has been answered.
+  std::map<run_key, std::uint64_t> mExpiredStarts;
   bool mIsReadingRunLists = false;
   std::deque<pending_order> mOrders;
   boost::asio::steady_timer mOrderTimer;
