Dispatch: Recognise a committed transaction by the versions of its rows

Cause: a refusal (412) returns the rows of all conditions, also of those that held. IsBatchInStore compared only the value of the first change. If the first job's state was the stored one, a refusal because of another row counted as a commit: starts were sent and run ends acknowledged that no store had, and the other jobs took a version they do not have, so that each later transaction with them was refused. One sequence reaches it: a job is marked changed for a checkpoint, and its worker lists the stored one again before the transaction is built. Of the other changes none comes back to a stored value: run numbers, failures and phases only rise. Change: an earlier attempt has taken effect only if each row that it changed has moved past the expected version, all to one version, with the written value (VersionOfEffect).

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -186,7 +186,6 @@
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
-  bool IsBatchInStore(std::vector<platform::store_row> const& aCurrent) const;
   void SendStart(planned_start const& aStart);
 
   options mOptions;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/transaction_effect.h"
 #include "net/sleep.h"
 #include "platform/operator_rows.h"
 
@@ -188,22 +189,11 @@
   }
 }
 
-bool scheduler::IsBatchInStore(std::vector<platform::store_row> const& aCurrent) const
-{
-  auto const& change = mBatch->mTransaction.mChanges.front();
-  return std::ranges::any_of(aCurrent, [&](platform::store_row const& aRow) {
-    return aRow.mTable == change.mTable && aRow.mKey == change.mKey && !aRow.mIsDeleted &&
-           aRow.mValue == *change.mValue;
-  });
-}
-
 void scheduler::BatchConflicted(std::vector<platform::store_row> const& aCurrent)
 {
-  if (IsBatchInStore(aCurrent)) {
+  if (auto const version = VersionOfEffect(mBatch->mTransaction, aCurrent)) {
     // An earlier attempt, whose outcome was unknown, has taken effect.
-    auto const& change = mBatch->mTransaction.mChanges.front();
-    auto const found = std::ranges::find(aCurrent, change.mKey, &platform::store_row::mKey);
-    BatchCommitted(found->mVersion);
+    BatchCommitted(*version);
     return;
   }
   auto const conflicted = std::move(*mBatch);
--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -4,6 +4,7 @@
 #include "net/http_server.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -31,9 +32,47 @@
     loses_answers
   };
 
+  /// What happens to one transaction of a client.
+  enum class transaction_fault
+  {
+    none,
+    /// The transaction waits, and is carried out later even if the client has given up.
+    held,
+    /// Answers 503 at once.
+    refused,
+    /// Carries out the transaction and closes the connection without an answer.
+    answer_lost
+  };
+
+  struct client_transaction
+  {
+    /// Counts the client's transactions from 1; a repetition has a number of its own.
+    std::size_t mNumber = 0;
+    base::json mBody;
+
+    /// Whether the transaction writes a row whose key begins with the prefix.
+    bool Writes(std::string const& aPrefix) const
+    {
+      return std::ranges::any_of(mBody["puts"], [&](base::json const& aPut) {
+        return aPut["key"].get_ref<std::string const&>().starts_with(aPrefix);
+      });
+    }
+  };
+
   struct client_endpoint
   {
     behavior mBehavior = behavior::serves;
+    std::size_t mTransactions = 0;
+    /// Asked about each transaction, again and again while it is held.
+    std::function<transaction_fault(client_transaction const&)> mOnTransaction;
+    /// Time that a transaction takes.
+    std::chrono::milliseconds mTransactionTime{ 0 };
+    /// Transactions whose conditions did not hold.
+    std::size_t mConflicts = 0;
+    /// Answers about changes of the dispatch table are on their way for as long as this is set.
+    bool mDelaysDispatchAnswers = false;
+    /// Delayed answers that contain rows.
+    std::size_t mDelayedAnswers = 0;
     /// Polls of the dispatch table.
     std::size_t mDispatchPolls = 0;
     std::unique_ptr<net::http_server> mServer;
@@ -85,6 +124,9 @@
   std::size_t Commits() const { return mCommits; }
 
 private:
+  /// Polls in short steps take the place of a wake-up for each waiting client.
+  static constexpr std::chrono::milliseconds kStep{ 4 };
+
   using name = std::pair<std::string, std::string>;
 
   struct row
@@ -136,8 +178,10 @@
   boost::asio::awaitable<net::http_response> Handle(client_endpoint& aEndpoint,
                                                     net::http_request aRequest)
   {
-    if (aRequest.mTarget.starts_with("/api/rows-feed") &&
-        aRequest.mTarget.find(dispatch::kDispatchTable) != std::string::npos) {
+    auto const isDispatchPoll =
+      aRequest.mTarget.starts_with("/api/rows-feed") &&
+      aRequest.mTarget.find(dispatch::kDispatchTable) != std::string::npos;
+    if (isDispatchPoll) {
       ++aEndpoint.mDispatchPolls;
     }
     auto const behavior = aEndpoint.mBehavior;
@@ -145,18 +189,48 @@
       co_return net::JsonResponse(503, base::json::object());
     }
     if (behavior == behavior::silent) {
-      boost::asio::steady_timer timer{ mContext, std::chrono::seconds{ 30 } };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      co_await Wait(std::chrono::seconds{ 30 });
       co_return LostResponse();
     }
+    auto fault = transaction_fault::none;
+    auto const isTransaction = aRequest.mTarget.starts_with("/api/rows-tx");
+    if (isTransaction && aEndpoint.mTransactionTime.count() > 0) {
+      co_await Wait(aEndpoint.mTransactionTime);
+    }
+    if (isTransaction && aEndpoint.mOnTransaction) {
+      client_transaction const transaction{ .mNumber = ++aEndpoint.mTransactions,
+                                            .mBody = base::json::parse(aRequest.mBody) };
+      fault = aEndpoint.mOnTransaction(transaction);
+      while (fault == transaction_fault::held) {
+        co_await Wait(kStep);
+        fault = aEndpoint.mOnTransaction(transaction);
+      }
+    }
+    if (fault == transaction_fault::refused) {
+      co_return net::JsonResponse(503, base::json::object());
+    }
     auto response = co_await mRouter.Handle(std::move(aRequest));
-    if (behavior == behavior::loses_answers) {
+    aEndpoint.mConflicts += response.mStatus == 412 ? 1 : 0;
+    if (isDispatchPoll && aEndpoint.mDelaysDispatchAnswers &&
+        !base::json::parse(response.mBody)["rows"].empty()) {
+      ++aEndpoint.mDelayedAnswers;
+      while (aEndpoint.mDelaysDispatchAnswers) {
+        co_await Wait(kStep);
+      }
+    }
+    if (behavior == behavior::loses_answers || fault == transaction_fault::answer_lost) {
       response.mTransfer = net::response_transfer::none;
     }
     co_return response;
   }
 
+  boost::asio::awaitable<void> Wait(std::chrono::milliseconds aTime)
+  {
+    boost::asio::steady_timer timer{ mContext, aTime };
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
   static net::http_response LostResponse()
   {
     net::http_response response;
@@ -257,10 +331,7 @@
         body["rows"] = std::move(rows);
         co_return net::JsonResponse(200, body);
       }
-      // Polls in short steps in place of a wake-up for each waiting client.
-      boost::asio::steady_timer timer{ mContext, std::chrono::milliseconds{ 4 } };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      co_await Wait(kStep);
     }
   }
 
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -4,6 +4,7 @@
 #include "net/http_router.h"
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,7 @@
     auto const found = mStarts.find(aTask);
     return found == mStarts.end() ? 0 : found->second;
   }
+  bool IsDone(std::string const& aTask) const { return mDone.contains(aTask); }
   std::size_t ActiveRuns() const { return mActive.size(); }
   std::size_t TasksStarted() const { return mStarts.size(); }
 
@@ -152,16 +154,24 @@
     mStartedAt = base::Now();
   }
 
+  /// Whether the worker lists the end of a run of the task, as it has not been acknowledged.
+  bool ListsEnd(std::string const& aTask) const
+  {
+    return std::ranges::find(mEnds, aTask, &end::mTask) != mEnds.end();
+  }
+
   /// Adds a run that the worker lists without having received an order to start it.
   void AddUnorderedRun(std::string const& aTask, std::uint32_t aRun)
   {
-    mRuns[aTask] = { aRun, base::Now() + mWork };
+    mRuns[aTask] = { .mRun = aRun, .mEndsAt = base::Now() + mWork };
     mDeadline = std::max(mDeadline, Clock() + 8000);
     mRecorder.Started(aTask);
   }
 
   faults mFaults;
   base::milliseconds mWork{ 300 };
+  /// Run time of each task by its name; mWork if empty.
+  std::function<base::milliseconds(std::string const&)> mWorkOf;
   std::size_t mStopCalls = 0;
   std::size_t mLeaseExpirations = 0;
   std::size_t mStarted = 0;
@@ -172,6 +182,7 @@
   {
     std::uint32_t mRun = 0;
     base::time_point mEndsAt{};
+    base::time_point mBeganAt = base::Now();
     bool mIsStopping = false;
   };
 
@@ -185,7 +196,7 @@
 
   std::int64_t Percent(run const& aRun) const
   {
-    auto const worked = base::Now() - (aRun.mEndsAt - mWork);
+    auto const worked = base::Now() - aRun.mBeganAt;
     return mProgressTime.count() == 0 ? 50
                                       : std::min<std::int64_t>(100, 100 * worked / mProgressTime);
   }
@@ -331,7 +342,7 @@
     if (number <= mHighestRun[task]) {
       return net::JsonResponse(409, Answer("old"));
     }
-    mRuns[task] = { number, base::Now() + mWork };
+    mRuns[task] = { .mRun = number, .mEndsAt = base::Now() + (mWorkOf ? mWorkOf(task) : mWork) };
     mResumedFrom = aBody.value("last_checkpoint", std::string{});
     mRecorder.Started(task);
     ++mStarted;
--- /dev/null
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -0,0 +1,111 @@
+#include "platform/tests/test_cluster.h"
+
+namespace rattanpond::platform {
+
+using base::milliseconds;
+using client_transaction = fake_row_store::client_transaction;
+using transaction_fault = fake_row_store::transaction_fault;
+
+namespace {
+
+std::string StateKey(std::string const& aJob)
+{
+  return std::string{ dispatch::kStatePrefix } + aJob;
+}
+
+std::string StoredState(test_cluster const& aCluster, std::string const& aJob)
+{
+  return aCluster.mStore.Text(dispatch::kDispatchTable, StateKey(aJob)).value_or("");
+}
+
+/// Number of jobs whose changes wait for a transaction.
+std::size_t WaitingJobs(test_front const& aFront)
+{
+  return aFront.mScheduler.Dump().at("dirty_jobs").get<std::size_t>();
+}
+
+std::string FirstTask(std::string const& aJob)
+{
+  return aJob + ".0.0.0";
+}
+
+bool Reaches(test_cluster& aCluster, test_front& aFront, std::string const& aJob,
+             std::string const& aState, milliseconds aLimit)
+{
+  return aCluster.RunUntil(
+    [&] {
+      return aCluster.Call(aFront, "GET", "/u/" + aJob) == 200 &&
+             base::json::parse(aCluster.mLastBody).at("state") == aState;
+    },
+    aLimit);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(store_conflict_test)
+
+// Guards against a refused transaction that counts as committed: the first job's state was the
+// stored one (its worker listed an older checkpoint again), the cancellation of another job refused
+// the transaction, and the end of a third job's run was acknowledged that no store had.
+BOOST_AUTO_TEST_CASE(a_transaction_that_changes_nothing_in_its_first_row_can_be_refused)
+{
+  test_cluster cluster{ 1, 2 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 60'000 };
+    side->mWorker.mProgressTime = milliseconds{ 60'000 };
+    side->mWorker.mCheckpoint = "first";
+  }
+  auto const unchanged = JobId(1);
+  auto const ended = JobId(2);
+  auto const cancelled = JobId(3);
+  auto const held = JobId(4);
+  auto& front = *cluster.mFronts[0];
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + unchanged, JobBody(1, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 1; }));
+  auto const busy = cluster.mSides[0]->mWorker.mStarted > 0 ? 0U : 1U;
+  cluster.mSides[1 - busy]->mWorker.mWork = milliseconds{ 9000 };
+  for (auto const& id : { ended, cancelled }) {
+    BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 2)) == 200U);
+  }
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 3; }));
+  auto const isStored = [&](std::string const& aText) {
+    return StoredState(cluster, unchanged).find(aText) != std::string::npos;
+  };
+  BOOST_REQUIRE(cluster.RunUntil([&] { return isStored("first"); }));
+
+  // While a transaction is under way, the checkpoint changes and changes back, and two runs end.
+  auto isFirstHeld = true;
+  auto isSecondHeld = true;
+  std::size_t secondAttempts = 0;
+  front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    auto const isSecond = aTransaction.Writes(StateKey(unchanged));
+    secondAttempts += isSecond ? 1 : 0;
+    auto const isFirst = aTransaction.Writes(StateKey(held));
+    return (isFirst && isFirstHeld) || (isSecond && isSecondHeld) ? transaction_fault::held
+                                                                  : transaction_fault::none;
+  };
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + held, JobBody(1, 2)) == 200U);
+  cluster.mSides[busy]->mWorker.mCheckpoint = "second";
+  BOOST_REQUIRE(cluster.RunUntil([&] { return WaitingJobs(front) == 3; }));
+  cluster.mSides[busy]->mWorker.mCheckpoint = "first";
+  constexpr milliseconds kReportInterval{ 1500 };
+  cluster.RunFor(kReportInterval);
+  isFirstHeld = false;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return secondAttempts > 0; }));
+  cluster.mStore.Put(dispatch::kDispatchTable,
+                     std::string{ dispatch::kCancellationPrefix } + cancelled, "");
+  auto const before = StoredState(cluster, ended);
+  isSecondHeld = false;
+
+  auto const& worker = cluster.mSides[1 - busy]->mWorker;
+  BOOST_TEST(
+    cluster.RunUntil([&] { return !worker.ListsEnd(FirstTask(ended)); }, milliseconds{ 3000 }));
+  BOOST_TEST(StoredState(cluster, ended) != before);
+  BOOST_TEST(Reaches(cluster, front, ended, "done", milliseconds{ 3000 }));
+  BOOST_TEST(!isStored("second"));
+  RequireNoFaults(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::platform
