Dispatch: Begin a term only with all rows of the former holder

Cause: the answer about a new term was lost, and the refusal of the second attempt showed the term's row before the rows that the former holder had written earlier. The next change of any table made the front the holder, and from then on it dropped the states that arrived. It acknowledged the end of a run that it did not know, and done work was started again. Of the same class: after another writer's state the holder stepped down, and began again at the next change, before the full read, whose states it then dropped as the writer; later pages of a full read can show the term early; a refused second attempt could leave a holder with another front's term version in its conditions. Change: a front begins once the feed has passed the version of its term and its tables are loaded, and does not take the term again meanwhile. A holder's transactions expect the version with which it began. Rows of refusals are applied as before otherwise: each is newer than the known one, and a holder learns so that it is replaced. Result: store_conflict_test/a_new_holder_begins_with_all_rows_of_the_former_one failed (holder too early, "start after done") and passes; a_holder_reads_the_states_again_before_it_begins_again failed (228 refused transactions, 1 expected) and passes. The case of the pages is argued, not tested.

--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -109,6 +109,13 @@
   {
     return mDispatchRows.mIsLoaded && mOperatorRows.mIsLoaded && mConfiguration != nullptr;
   }
+  /// Whether all rows of the dispatch table that were written up to this version have arrived.
+  /// Single rows may be newer: a refused transaction shows them before the feed does, and so does a
+  /// later page of a full read.
+  bool HasAllRowsUntil(std::uint64_t aVersion) const
+  {
+    return IsLoaded() && mDispatchRows.mVersion >= aVersion;
+  }
 
 private:
   /// Read position of a table.
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -62,6 +62,13 @@
     if (mIsHolder || mIsReleasing || !mOptions.mReplica.IsLoaded()) {
       continue;
     }
+    if (IsTermOurs()) {
+      base::Log("scheduler")
+        ->info("holder-waits term={} version={}", mOptions.mReplica.Term().mNumber,
+               mOptions.mReplica.TermVersion());
+      ReplicaChanged();
+      continue;
+    }
     // An earlier process on this node has certainly ended.
     auto const isFormerIncarnation = mOptions.mReplica.Term().mNode == mOptions.mSettings.mNode;
     if (isFormerIncarnation || mOptions.mReplica.Lease().IsVacant(base::Now(), ownSpread)) {
@@ -85,22 +92,31 @@
   auto const result = co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
   base::Log("scheduler")
     ->info("take-term number={} outcome={}", number, static_cast<int>(result.mOutcome));
-  // Whatever the outcome, the replicated rows show who holds the term. They also include everything
-  // that the former holder wrote.
+  // Whatever the outcome, the replicated rows show who holds the term.
   if (result.mOutcome == commit_outcome::conflict) {
     replica.Apply(result.mCurrent);
+    ReplicaChanged();
   }
 }
 
-void scheduler::ReplicaChanged()
+bool scheduler::IsTermOurs() const
 {
   auto const& term = mOptions.mReplica.Term();
-  auto const isOurs = term.mNode == mOptions.mSettings.mNode &&
-                      term.mIncarnation == mOptions.mIncarnation && !mIsReleasing;
-  if (isOurs && !mIsHolder) {
+  return term.mNode == mOptions.mSettings.mNode && term.mIncarnation == mOptions.mIncarnation &&
+         !mIsReleasing;
+}
+
+void scheduler::ReplicaChanged()
+{
+  // A holder is the only writer of job states and takes none from the store, so it begins only with
+  // everything that the former holder wrote before the term changed.
+  if (!mIsHolder && IsTermOurs() &&
+      mOptions.mReplica.HasAllRowsUntil(mOptions.mReplica.TermVersion())) {
     BecomeHolder();
-  } else if (!isOurs && mIsHolder) {
+  } else if (mIsHolder && !IsTermOurs()) {
     StepDown("another front holds the term");
+  } else if (mIsHolder && mOptions.mReplica.TermVersion() != mTermVersion) {
+    StepDown("the term has been taken again");
   }
   if (mIsHolder) {
     SynchronizeSessions();
@@ -113,6 +129,7 @@
 {
   mIsHolder = true;
   mTerm = mOptions.mReplica.Term().mNumber;
+  mTermVersion = mOptions.mReplica.TermVersion();
   mHolderSince = base::Now();
   mLeases.clear();
   mClaims.clear();
@@ -160,7 +177,7 @@
     co_return;
   }
   platform::row_transaction transaction{
-    .mConditions = { { kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() } },
+    .mConditions = { { kDispatchTable, kTermKey, mTermVersion } },
     .mChanges = { { kDispatchTable, kTermHeartbeatKey, "released" } },
   };
   StepDown("the process is shutting down");
@@ -176,7 +193,7 @@
       continue;
     }
     platform::row_transaction transaction{
-      .mConditions = { { kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() } },
+      .mConditions = { { kDispatchTable, kTermKey, mTermVersion } },
       .mChanges = { { kDispatchTable, kTermHeartbeatKey, std::to_string(++count) } },
     };
     auto const term = mTerm;
@@ -331,7 +348,7 @@
   if (transaction.mChanges.empty()) {
     return;
   }
-  transaction.mConditions.push_back({ kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() });
+  transaction.mConditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   asio::co_spawn(
     mOptions.mContext,
     [this, transaction = std::move(transaction)]() mutable -> awaitable<void> {
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -105,6 +105,7 @@
 
   boost::asio::awaitable<void> RoleLoop();
   boost::asio::awaitable<void> TakeTerm();
+  bool IsTermOurs() const;
   boost::asio::awaitable<void> TermHeartbeatLoop();
   boost::asio::awaitable<void> Tick();
   boost::asio::awaitable<void> FlushLoop();
@@ -192,6 +193,8 @@
   bool mIsHolder = false;
   bool mIsReleasing = false;
   std::uint64_t mTerm = 0;
+  /// Version of the term's row, which every transaction of the holder expects.
+  std::uint64_t mTermVersion = 0;
   base::time_point mHolderSince{};
   std::map<std::string, std::unique_ptr<session>> mSessions;
   /// By node; outlives the session, which a new address of the side replaces.
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -75,7 +75,7 @@
   }
   batch built;
   auto& conditions = built.mTransaction.mConditions;
-  conditions.push_back({ kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() });
+  conditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   std::set<std::string> chosen;
   for (auto const& id : mDirty) {
     if (chosen.size() == kJobsPerBatch) {
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -106,6 +106,122 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a new holder that lacks rows of the former one: the answer about its term was
+// lost, the refusal of its second attempt showed the term before the rows written earlier arrived,
+// and it acknowledged the end of a run that it did not know. The work was done a second time.
+BOOST_AUTO_TEST_CASE(a_new_holder_begins_with_all_rows_of_the_former_one)
+{
+  test_cluster cluster{ 2, 1 };
+  cluster.mSides[0]->mWorker.mWork = milliseconds{ 100 };
+  auto& former = *cluster.Holder();
+  auto& next = cluster.Standby();
+  auto const id = JobId(1);
+
+  // The former holder orders a start just before the standby takes over, and records no end.
+  auto isTakeoverSent = false;
+  former.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (aTransaction.Writes(dispatch::kTermHeartbeatKey)) {
+      return transaction_fault::refused;
+    }
+    return aTransaction.Writes(StateKey(id)) && !isTakeoverSent ? transaction_fault::held
+                                                                : transaction_fault::none;
+  };
+  auto isTermTaken = false;
+  std::size_t laterAttempts = 0;
+  next.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (!aTransaction.Writes(dispatch::kTermKey)) {
+      return transaction_fault::none;
+    }
+    if (isTermTaken) {
+      ++laterAttempts;
+      return transaction_fault::none;
+    }
+    isTakeoverSent = true;
+    next.mStoreEndpoint.mDelaysDispatchAnswers = true;
+    auto const hasStarted = cluster.mRecorder.Starts(FirstTask(id)) == 1;
+    former.mIsFrozen = hasStarted;
+    if (!hasStarted || cluster.mRecorder.ActiveRuns() > 0 ||
+        next.mStoreEndpoint.mDelayedAnswers == 0) {
+      return transaction_fault::held;
+    }
+    isTermTaken = true;
+    return transaction_fault::answer_lost;
+  };
+  BOOST_TEST(cluster.Call(next, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return laterAttempts > 0; }));
+  cluster.RunFor(milliseconds{ 20 });
+  cluster.mStore.Put(kOperatorTable, "unrelated", "changed");
+  cluster.RunFor(milliseconds{ 100 });
+  BOOST_TEST(!next.mScheduler.IsHolder());
+  next.mStoreEndpoint.mDelaysDispatchAnswers = false;
+
+  BOOST_TEST(cluster.RunUntil([&] { return next.mScheduler.IsHolder(); }, milliseconds{ 2000 }));
+  BOOST_TEST(Reaches(cluster, next, id, "done", milliseconds{ 3000 }));
+  BOOST_TEST(cluster.mRecorder.Starts(FirstTask(id)) == 1U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a holder that steps down and begins again with the same outdated states: an own
+// transaction that had been given up took effect late.
+BOOST_AUTO_TEST_CASE(a_holder_reads_the_states_again_before_it_begins_again)
+{
+  test_cluster cluster{ 1, 2 };
+  auto& front = *cluster.mFronts[0];
+  auto const id = JobId(1);
+  auto const setEvacuations = [&](bool aAreInForce) {
+    for (auto const* const domain : { "zone-0", "zone-1" }) {
+      auto const key = std::string{ kEvacuationPrefix } + domain;
+      if (aAreInForce) {
+        cluster.mStore.Put(kOperatorTable, key, "{}");
+      } else {
+        cluster.mStore.Remove(kOperatorTable, key);
+      }
+    }
+  };
+  // The first transaction is on its way for long. Its repetition is refused because of an
+  // evacuation. The next transaction arrives after the first one has taken effect.
+  base::json first;
+  std::size_t firstNumber = 0;
+  auto isFirstHeld = true;
+  auto isNextHeld = true;
+  std::set<std::size_t> nextNumbers;
+  front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (!aTransaction.Writes(StateKey(id))) {
+      return transaction_fault::none;
+    }
+    if (firstNumber == 0) {
+      first = aTransaction.mBody;
+      firstNumber = aTransaction.mNumber;
+      setEvacuations(true);
+    }
+    auto const isNext = aTransaction.mBody != first;
+    if (isNext && isNextHeld) {
+      nextNumbers.insert(aTransaction.mNumber);
+    }
+    return (isNext && isNextHeld) || (aTransaction.mNumber == firstNumber && isFirstHeld)
+             ? transaction_fault::held
+             : transaction_fault::none;
+  };
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return !nextNumbers.empty(); }));
+  setEvacuations(false);
+  isFirstHeld = false;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return !StoredState(cluster, id).empty(); }));
+  isNextHeld = false;
+  front.mStoreEndpoint.mConflicts = 0;
+  // Each change of the operators' rows could make it the holder again.
+  auto const limit = base::Now() + milliseconds{ 10'000 };
+  while (cluster.mRecorder.Starts(FirstTask(id)) == 0 && base::Now() < limit) {
+    cluster.mStore.Put(kOperatorTable, "unrelated", "changed");
+    cluster.RunFor(milliseconds{ 5 });
+  }
+  // Only the attempts that were on their way are refused.
+  BOOST_TEST(front.mStoreEndpoint.mConflicts <= nextNumbers.size());
+  BOOST_TEST(Reaches(cluster, front, id, "done", milliseconds{ 5000 }));
+  BOOST_TEST(cluster.mRecorder.Starts(FirstTask(id)) == 1U);
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
