Tests: Show that ends of other runs are acknowledged only once stored

Cause: an end that matches no active run is acknowledged without a transaction; it could be one that is recorded but not stored, listed again to a new session. Change: a test holds the transaction with the end and replaces the side's process. With a complete view at the start of the term, a run that has been started is in the view: starts follow their commit.

--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -222,6 +222,33 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against the acknowledgement of an end that is recorded but not stored: a new side process
+// lists it again, and it matches no active run any more.
+BOOST_AUTO_TEST_CASE(an_end_is_acknowledged_only_once_it_is_stored)
+{
+  test_cluster cluster{ 1, 1 };
+  auto& front = *cluster.mFronts[0];
+  auto& side = *cluster.mSides[0];
+  auto const id = JobId(1);
+  auto isHeld = true;
+  front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    auto const isEnd = cluster.mRecorder.IsDone(FirstTask(id)) && aTransaction.Writes(StateKey(id));
+    return isEnd && isHeld ? transaction_fault::held : transaction_fault::none;
+  };
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.IsDone(FirstTask(id)); }));
+  cluster.RunFor(milliseconds{ 300 });
+  side.StartAgent(cluster.mStore);
+  cluster.RunFor(milliseconds{ 3000 });
+  BOOST_TEST(side.mWorker.ListsEnd(FirstTask(id)));
+  isHeld = false;
+  BOOST_TEST(Reaches(cluster, front, id, "done", milliseconds{ 3000 }));
+  BOOST_TEST(
+    cluster.RunUntil([&] { return !side.mWorker.ListsEnd(FirstTask(id)); }, milliseconds{ 3000 }));
+  BOOST_TEST(cluster.mRecorder.Starts(FirstTask(id)) == 1U);
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
