Dispatch: Store the oldest change first and plan before each transaction

Cause: jobs were stored in the order of their ids, 18 in a transaction, so jobs that change all the time kept later ones from the store. Planning, and the acknowledgement of ends, waited for a moment without changes: with a slow store and runs that end all the time, an accepted job waited for idle workers. A transaction whose jobs had all gone ended the round although other changes waited. Change: change_queue keeps the order of the oldest change; planning precedes each transaction; run_end_ledger acknowledges an end once the change of its own job is stored. Tried: acknowledging the ends up to the first one whose job waits, at each transaction, was not enough: jobs that change again held back ends that were stored (changes_are_stored_in_their_order failed once beside other load). Result: store_conflict_test/a_job_is_planned_while_other_jobs_change (store at 200 ms) and changes_are_stored_in_their_order failed on the former code and pass.

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -133,7 +133,7 @@
   mHolderSince = base::Now();
   mLeases.clear();
   mClaims.clear();
-  mDirty.clear();
+  mDirty.Clear();
   mPlanned.clear();
   mBatch.reset();
   mEndedJobs.clear();
@@ -163,7 +163,7 @@
   base::Log("scheduler")->info("step-down term={} reason=\"{}\"", mTerm, aReason);
   mIsHolder = false;
   mSessions.clear();
-  mDirty.clear();
+  mDirty.Clear();
   mPlanned.clear();
   mBatch.reset();
   // The next holder has none of the changes that this process recorded but did not store.
@@ -376,8 +376,8 @@
     sessions[node] = { { "linked", session->mLink != nullptr },
                        { "state", std::string{ base::Name(session->mReport.mState) } },
                        { "running", session->mReport.mRunning.size() },
-                       { "noted_end", session->mRecordedEnd },
-                       { "stored_end", session->mStoredEnd } };
+                       { "noted_end", session->mEnds.Recorded() },
+                       { "stored_end", session->mEnds.Stored() } };
   }
   return { { "holder", mIsHolder },
            { "term", mTerm },
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "dispatch/change_queue.h"
 #include "dispatch/failure_history.h"
 #include "dispatch/lease_evidence.h"
 #include "dispatch/messages.h"
@@ -8,6 +9,7 @@
 #include "dispatch/permit_cache.h"
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
+#include "dispatch/run_end_ledger.h"
 #include "dispatch/run_time_estimator.h"
 #include "dispatch/stop_rate_limiter.h"
 #include "dispatch/worker_health.h"
@@ -61,9 +63,7 @@
     bool mHasReport = false;
     side_report mReport;
     base::time_point mReportedAt{};
-    /// Highest run end that is recorded in memory, and in the store.
-    std::int64_t mRecordedEnd = 0;
-    std::int64_t mStoredEnd = 0;
+    run_end_ledger mEnds;
     std::vector<start_order> mStarts;
     std::vector<stop_order> mStops;
     std::vector<pace_order> mPaces;
@@ -98,6 +98,7 @@
     /// The jobs of the transaction, each with the phase that it stores.
     std::vector<std::pair<std::string, job_phase>> mJobs;
     std::vector<planned_start> mStarts;
+    /// By node: the highest run end that was recorded before the transaction.
     std::map<std::string, std::int64_t> mEnds;
     std::uint32_t mAttempts = 0;
     base::time_point mPendingLoggedAt{};
@@ -184,6 +185,8 @@
   queue const* QueueOf(job_record const& aJob) const;
   std::uint32_t PriorityOf(job_record const& aJob) const;
   bool BuildBatch();
+  /// Ends of jobs without changes to store need no transaction.
+  void MarkEndsOfUnchangedJobs(session& aSession);
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
@@ -200,7 +203,7 @@
   /// By node; outlives the session, which a new address of the side replaces.
   std::map<std::string, lease_evidence> mLeases;
   base::time_point mOverdueLoggedAt{};
-  std::set<std::string> mDirty;
+  change_queue mDirty;
   std::vector<planned_start> mPlanned;
   /// Workers that waiting groups have claimed in the last decision.
   std::vector<placement_claim> mClaims;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -43,7 +43,7 @@
   std::minstd_rand random{ std::random_device{}() };
   std::uniform_int_distribution<int> retry{ kShortestRetryMs, kLongestRetryMs };
   while (true) {
-    if (!mMustPlan) {
+    if (!mMustPlan && (mDirty.empty() || !mIsHolder)) {
       mIsPlanningScheduled = false;
       boost::system::error_code ignored;
       mFlushTimer.expires_after(kIdleWait);
@@ -55,14 +55,17 @@
     if (!mIsHolder) {
       continue;
     }
+    // Planned before each transaction: runs that end all the time would otherwise keep waiting jobs
+    // from idle workers for as long as each transaction leaves changes for the next one.
     Plan();
     SendPendingStops();
-    while (mIsHolder && BuildBatch()) {
-      while (mIsHolder && mBatch) {
-        co_await CommitBatch();
-        if (mIsHolder && mBatch) {
-          co_await net::Sleep(milliseconds{ retry(random) });
-        }
+    if (!BuildBatch()) {
+      continue;
+    }
+    while (mIsHolder && mBatch) {
+      co_await CommitBatch();
+      if (mIsHolder && mBatch) {
+        co_await net::Sleep(milliseconds{ retry(random) });
       }
     }
   }
@@ -70,17 +73,12 @@
 
 bool scheduler::BuildBatch()
 {
-  if (mDirty.empty()) {
-    return false;
-  }
   batch built;
   auto& conditions = built.mTransaction.mConditions;
   conditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   std::set<std::string> chosen;
-  for (auto const& id : mDirty) {
-    if (chosen.size() == kJobsPerBatch) {
-      break;
-    }
+  while (!mDirty.empty() && built.mJobs.size() < kJobsPerBatch) {
+    auto const id = mDirty.TakeOldest();
     chosen.insert(id);
     auto* const job = mOptions.mReplica.FindJob(id);
     if (job == nullptr) {
@@ -106,7 +104,6 @@
   }
   std::erase_if(mPlanned,
                 [&](planned_start const& aPlanned) { return chosen.contains(aPlanned.mJob); });
-  std::erase_if(mDirty, [&](std::string const& aId) { return chosen.contains(aId); });
   if (!built.mStarts.empty()) {
     conditions.push_back({ platform::kOperatorTable, platform::kConfigurationKey,
                            mOptions.mReplica.ConfigurationRowVersion() });
@@ -114,15 +111,12 @@
       conditions.push_back({ platform::kOperatorTable, platform::kEvacuationPrefix + domain, 0 });
     }
   }
-  // Run ends are acknowledged only if no job that they affect waits for a later transaction.
-  if (mDirty.empty()) {
-    for (auto const& [node, session] : mSessions) {
-      built.mEnds[node] = session->mRecordedEnd;
-    }
-  }
   if (built.mJobs.empty()) {
     return false;
   }
+  for (auto const& [node, session] : mSessions) {
+    built.mEnds[node] = session->mEnds.Recorded();
+  }
   auto const now = base::Now();
   if (mHasNewRunTimes && now - mRunTimesStoredAt > kRunTimesInterval) {
     built.mTransaction.mChanges.push_back({ kDispatchTable, kRunTimesKey, mRunTimes.Encode() });
@@ -176,19 +170,32 @@
   for (auto const& start : done.mStarts) {
     SendStart(start);
   }
+  std::set<std::string> jobs;
+  for (auto const& [id, phase] : done.mJobs) {
+    jobs.insert(id);
+  }
   for (auto const& [node, session] : mSessions) {
-    auto const found = done.mEnds.find(node);
-    bool const hasNewEnds = found != done.mEnds.end() && found->second > session->mStoredEnd &&
-                            found->second <= session->mRecordedEnd;
-    if (hasNewEnds) {
-      session->mStoredEnd = found->second;
+    auto const before = session->mEnds.Stored();
+    if (auto const found = done.mEnds.find(node); found != done.mEnds.end()) {
+      session->mEnds.MarkStored(found->second,
+                                [&](std::string const& aJob) { return jobs.contains(aJob); });
     }
+    MarkEndsOfUnchangedJobs(*session);
+    bool const hasNewEnds = session->mEnds.Stored() > before;
     if (hasNewEnds || !session->mStarts.empty()) {
       SendOrders(*session);
     }
   }
 }
 
+void scheduler::MarkEndsOfUnchangedJobs(session& aSession)
+{
+  if (!mBatch) {
+    aSession.mEnds.MarkStored(aSession.mEnds.Recorded(),
+                              [&](std::string const& aJob) { return !mDirty.Contains(aJob); });
+  }
+}
+
 void scheduler::BatchConflicted(std::vector<platform::store_row> const& aCurrent)
 {
   if (auto const version = VersionOfEffect(mBatch->mTransaction, aCurrent)) {
@@ -225,7 +232,7 @@
     }
   }
   for (auto const& [id, phase] : conflicted.mJobs) {
-    mDirty.insert(id);
+    mDirty.Insert(id);
   }
   mOptions.mReplica.Apply(aCurrent);
   ReplicaChanged();
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -327,7 +327,7 @@
     task.mProgressInterval = milliseconds{ 0 };
     task.mProgressAt = now;
     mPlanned.push_back({ start.mJob, start.mPosition, run, start.mWorker });
-    mDirty.insert(start.mJob);
+    mDirty.Insert(start.mJob);
     UpdatePhase(job);
   }
 }
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -133,8 +133,7 @@
 
 void scheduler::ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart)
 {
-  aSession.mRecordedEnd = 0;
-  aSession.mStoredEnd = 0;
+  aSession.mEnds = {};
   // A worker that announced its departure is not lost.
   if (aSession.mHasReport && aSession.mReport.mIncarnationStart != 0 &&
       aSession.mReport.mState != worker_state::draining &&
@@ -188,10 +187,13 @@
 {
   auto const& report = aSession.mReport;
   for (auto const& end : report.mEnded) {
-    if (end.mNumber <= aSession.mRecordedEnd) {
+    if (end.mNumber <= aSession.mEnds.Recorded()) {
       continue;
     }
-    aSession.mRecordedEnd = end.mNumber;
+    // The end of another run can concern changes that are not stored yet, too: the worker lists it
+    // again to a new session.
+    auto const* const job = FindTask(end.mTask).mJob;
+    aSession.mEnds.Record(end.mNumber, job == nullptr ? std::string{} : job->Id());
     auto const run = FindActiveRun(aSession, end.mTask, end.mRun);
     if (run.mTask == nullptr) {
       base::Log("scheduler")
@@ -201,10 +203,7 @@
     }
     RecordRunEnd(*run.mJob, run.mPosition, end);
   }
-  // With no changes to store, the recorded ends need no transaction and can be acknowledged.
-  if (mDirty.empty() && !mBatch) {
-    aSession.mStoredEnd = aSession.mRecordedEnd;
-  }
+  MarkEndsOfUnchangedJobs(aSession);
 }
 
 void scheduler::RecordRunEnd(job_record& aJob, task_position const& aPosition,
@@ -220,7 +219,7 @@
   if (!aEnd.mCheckpoint.empty()) {
     task.mState.mCheckpoint = aEnd.mCheckpoint;
   }
-  mDirty.insert(aJob.Id());
+  mDirty.Insert(aJob.Id());
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
@@ -293,7 +292,7 @@
   if (!task.mReportedCheckpoint.empty()) {
     task.mState.mCheckpoint = task.mReportedCheckpoint;
   }
-  mDirty.insert(aJob.Id());
+  mDirty.Insert(aJob.Id());
   if (aJob.Step(aPosition).mIsGang) {
     StopPartialGang(aJob, aPosition);
   }
@@ -508,7 +507,7 @@
                         age > kMaximumStoreSilence ? kNoReport : aSession.mReport.mSequence,
                       .mWorker = aSession.mReport.mWorker,
                       .mIncarnationStart = aSession.mReport.mIncarnationStart,
-                      .mAcknowledged = aSession.mStoredEnd,
+                      .mAcknowledged = aSession.mEnds.Stored(),
                       .mStarts = std::move(aSession.mStarts),
                       .mStops = std::move(aSession.mStops),
                       .mPaces = std::move(aSession.mPaces) };
@@ -537,7 +536,7 @@
                                          : job_phase::queued;
   if (phase != aJob.Phase()) {
     aJob.SetPhase(phase);
-    mDirty.insert(aJob.Id());
+    mDirty.Insert(aJob.Id());
     if (phase == job_phase::done) {
       base::Log("scheduler")->info("job-done job={}", aJob.Id());
     }
@@ -564,7 +563,7 @@
     }
     base::Log("scheduler")->info("job-cancelled job={}", id);
     job.SetPhase(job_phase::cancelled);
-    mDirty.insert(id);
+    mDirty.Insert(id);
     RecordJobEnd(id);
     job.ForEachTask([&](task_position const& aPosition, tracked_task& aTask) {
       if (aTask.mState.mStatus == task_status::active) {
@@ -754,7 +753,7 @@
   });
   for (auto const& [job, work] : unsaved) {
     if (work >= kUnsavedWorkLimit && aNow - job->mCheckpointsAppliedAt >= kCheckpointsInterval) {
-      mDirty.insert(job->Id());
+      mDirty.Insert(job->Id());
     }
   }
 }
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -8,6 +8,16 @@
 
 namespace {
 
+/// Time of a transaction in a slow store.
+constexpr milliseconds kSlowTransaction{ 200 };
+
+/// A job with one step of many tasks that fit onto few workers.
+std::string SmallTasksBody(int aCount)
+{
+  base::json const step{ { "count", aCount }, { "cpu", 100 }, { "mem_mb", 100 } };
+  return base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
+}
+
 std::string StateKey(std::string const& aJob)
 {
   return std::string{ dispatch::kStatePrefix } + aJob;
@@ -249,6 +259,76 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against planning that waits for a moment without changes to store: with a slow store and
+// runs that end all the time, an accepted job waited seconds for idle workers.
+BOOST_AUTO_TEST_CASE(a_job_is_planned_while_other_jobs_change)
+{
+  test_cluster cluster{ 1, 2 };
+  auto& front = *cluster.mFronts[0];
+  constexpr int kOthers = 40;
+  constexpr milliseconds kFirstEnd{ 3000 };
+  constexpr milliseconds kBetweenEnds{ 100 };
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mProgressTime = milliseconds{ 10'000 };
+    side->mWorker.mWorkOf = [&](std::string const& aTask) {
+      auto const index = std::stoi(aTask.substr(aTask.rfind('.') + 1));
+      return kFirstEnd + index * kBetweenEnds;
+    };
+  }
+  BOOST_TEST(cluster.Call(front, "POST", "/b/" + JobId(1), JobBody(kOthers, 0)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == kOthers; }));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == kOthers - 1; }));
+  front.mStoreEndpoint.mTransactionTime = kSlowTransaction;
+  auto const id = JobId(2);
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  // The transaction that is under way, its own, and as much for everything else.
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.mRecorder.Starts(FirstTask(id)) == 1; },
+                              4 * kSlowTransaction));
+  BOOST_TEST(cluster.mRecorder.ActiveRuns() > 1U);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a job whose changes are not stored, and whose worker's ends are not acknowledged,
+// while more jobs than fit into a transaction change all the time.
+BOOST_AUTO_TEST_CASE(changes_are_stored_in_their_order)
+{
+  test_cluster cluster{ 1, 3 };
+  auto& front = *cluster.mFronts[0];
+  // A transaction holds 18 jobs.
+  constexpr int kOthers = 30;
+  constexpr int kTasks = 16;
+  constexpr milliseconds kFirstEnd{ 6000 };
+  auto const last = JobId(99);
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mProgressTime = milliseconds{ 20'000 };
+    side->mWorker.mWorkOf = [&](std::string const& aTask) {
+      auto const index = std::stoi(aTask.substr(aTask.rfind('.') + 1));
+      // The last job ends when all others have begun to end.
+      return aTask.starts_with(last) ? kFirstEnd + 3 * kSlowTransaction
+                                     : kFirstEnd + index * kSlowTransaction;
+    };
+  }
+  for (int job = 1; job <= kOthers; ++job) {
+    BOOST_TEST(cluster.Call(front, "POST", "/b/" + JobId(job), SmallTasksBody(kTasks)) == 200U);
+  }
+  BOOST_TEST(cluster.Call(front, "POST", "/b/" + last, SmallTasksBody(1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil(
+    [&] { return cluster.mRecorder.ActiveRuns() == kOthers * kTasks + 1; }, kFirstEnd));
+  front.mStoreEndpoint.mTransactionTime = kSlowTransaction;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.IsDone(FirstTask(last)); }));
+  // All jobs fit into two transactions; one more is under way, and reports take their time.
+  BOOST_TEST(Reaches(cluster, front, last, "done", 5 * kSlowTransaction));
+  BOOST_TEST(cluster.RunUntil(
+    [&] {
+      return std::ranges::none_of(cluster.mSides, [&](auto const& aSide) {
+        return aSide->mWorker.ListsEnd(FirstTask(last));
+      });
+    },
+    3 * kSlowTransaction));
+  BOOST_TEST(cluster.mRecorder.ActiveRuns() > kOthers);
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
