Dispatch: Keep run-time observations of a refused transaction

Cause: the observations counted as stored when their transaction was built. Change: they count as stored when it is committed, and are written again after a conflict. Result: store_conflict_test/run_times_are_stored_after_a_conflict failed on the former code and passes.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -98,6 +98,7 @@
     /// The jobs of the transaction, each with the phase that it stores.
     std::vector<std::pair<std::string, job_phase>> mJobs;
     std::vector<planned_start> mStarts;
+    bool mHasRunTimes = false;
     /// By node: the highest run end that was recorded before the transaction.
     std::map<std::string, std::int64_t> mEnds;
     std::uint32_t mAttempts = 0;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -120,7 +120,7 @@
   auto const now = base::Now();
   if (mHasNewRunTimes && now - mRunTimesStoredAt > kRunTimesInterval) {
     built.mTransaction.mChanges.push_back({ kDispatchTable, kRunTimesKey, mRunTimes.Encode() });
-    mRunTimesStoredAt = now;
+    built.mHasRunTimes = true;
     mHasNewRunTimes = false;
   }
   mBatch = std::move(built);
@@ -162,6 +162,9 @@
 {
   auto const done = std::move(*mBatch);
   mBatch.reset();
+  if (done.mHasRunTimes) {
+    mRunTimesStoredAt = base::Now();
+  }
   for (auto const& [id, phase] : done.mJobs) {
     if (auto* const job = mOptions.mReplica.FindJob(id)) {
       job->MarkStateStored(aVersion, phase);
@@ -234,6 +237,7 @@
   for (auto const& [id, phase] : conflicted.mJobs) {
     mDirty.Insert(id);
   }
+  mHasNewRunTimes = mHasNewRunTimes || conflicted.mHasRunTimes;
   mOptions.mReplica.Apply(aCurrent);
   ReplicaChanged();
 }
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -329,6 +329,30 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against run-time observations that are lost with a refused transaction.
+BOOST_AUTO_TEST_CASE(run_times_are_stored_after_a_conflict)
+{
+  test_cluster cluster{ 1, 1 };
+  auto& front = *cluster.mFronts[0];
+  auto const id = JobId(1);
+  auto isRefused = false;
+  front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (aTransaction.Writes(dispatch::kRunTimesKey) && !isRefused) {
+      isRefused = true;
+      cluster.mStore.Put(dispatch::kDispatchTable,
+                         std::string{ dispatch::kCancellationPrefix } + id, "");
+    }
+    return transaction_fault::none;
+  };
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return front.mStoreEndpoint.mConflicts > 0; }));
+  BOOST_TEST(cluster.RunUntil(
+    [&] {
+      return cluster.mStore.Text(dispatch::kDispatchTable, dispatch::kRunTimesKey).has_value();
+    },
+    milliseconds{ 2000 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
