Dispatch: Remove the rows of ended jobs again after a failure

Cause: a job was no longer noted as ended once its removal had been sent; a refused removal was never repeated. Change: the job stays noted until the removal is committed, with an attempt each 2 s. Result: store_conflict_test/ended_jobs_are_removed_after_a_refusal failed on the former code and passes.

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds kTermCommitTimeout{ 1000 };
 /// A link without a report for this long is closed: side agents report at least every 1.5 s.
 constexpr milliseconds kLinkTimeout{ 3000 };
+/// Rows of ended jobs whose removal has failed are removed again after this time; longer than the
+/// removal itself may take.
+constexpr milliseconds kRemovalRetryDelay{ 2000 };
 /// Standbys spread their attempts to take over a vacant term over this time.
 constexpr int kTakeoverSpreadMs = 250;
 
@@ -333,28 +336,36 @@
   constexpr std::size_t kRowsPerJob = 3;
   constexpr std::size_t kMaximumChanges = 90;
   platform::row_transaction transaction;
-  for (auto ended = mEndedJobs.begin(); ended != mEndedJobs.end();) {
-    if (ended->second + retention > aNow ||
+  std::vector<std::string> jobs;
+  for (auto& [id, removableSince] : mEndedJobs) {
+    if (removableSince + retention > aNow ||
         transaction.mChanges.size() + kRowsPerJob > kMaximumChanges) {
-      ++ended;
       continue;
     }
-    auto const& id = ended->first;
     for (auto const* const prefix : { kJobPrefix, kStatePrefix, kCancellationPrefix }) {
       transaction.mChanges.push_back({ kDispatchTable, prefix + id, std::nullopt });
     }
-    ended = mEndedJobs.erase(ended);
+    jobs.push_back(id);
+    // Removed again after a failure of this attempt.
+    removableSince = aNow - retention + kRemovalRetryDelay;
   }
-  if (transaction.mChanges.empty()) {
+  if (jobs.empty()) {
     return;
   }
   transaction.mConditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   asio::co_spawn(
     mOptions.mContext,
-    [this, transaction = std::move(transaction)]() mutable -> awaitable<void> {
+    [this, term = mTerm, transaction = std::move(transaction),
+     jobs = std::move(jobs)]() mutable -> awaitable<void> {
       auto const result =
         co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
-      base::Log("scheduler")->info("retention outcome={}", static_cast<int>(result.mOutcome));
+      base::Log("scheduler")
+        ->info("retention jobs={} outcome={}", jobs.size(), static_cast<int>(result.mOutcome));
+      if (result.mOutcome == commit_outcome::committed && term == mTerm) {
+        for (auto const& id : jobs) {
+          mEndedJobs.erase(id);
+        }
+      }
     },
     asio::detached);
 }
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -353,6 +353,27 @@
     milliseconds{ 2000 }));
 }
 
+// Guards against rows of ended jobs that stay in the store for good after a refused removal.
+BOOST_AUTO_TEST_CASE(ended_jobs_are_removed_after_a_refusal)
+{
+  test_cluster cluster{ 1, 1 };
+  auto& front = *cluster.mFronts[0];
+  front.mSettings.mStatusRetention = milliseconds{ 100 };
+  auto const id = JobId(1);
+  std::size_t refusals = 0;
+  front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (aTransaction.mBody["remove"].empty() || refusals > 0) {
+      return transaction_fault::none;
+    }
+    ++refusals;
+    return transaction_fault::refused;
+  };
+  BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return refusals > 0; }));
+  BOOST_TEST(
+    cluster.RunUntil([&] { return StoredState(cluster, id).empty(); }, milliseconds{ 5000 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
