Dispatch: Send term heartbeats at a fixed interval

Cause: one heartbeat without an answer delayed the next one by its timeout (1 s) and the interval (0.4 s); a standby takes over after 1.4 s. term_lease promises to tolerate two lost heartbeats. Change: the interval counts from the last attempt, and an attempt waits for its answer no longer than that. Result: store_conflict_test/one_unanswered_term_heartbeat_does_not_vacate_the_term failed on the former code (term 2 at the other front) and passes.

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/lease_timing.h"
 #include "net/sleep.h"
 
+#include <algorithm>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -190,8 +191,13 @@
 awaitable<void> scheduler::TermHeartbeatLoop()
 {
   std::uint64_t count = 0;
+  base::time_point sentAt{};
   while (true) {
-    co_await net::Sleep(kTermHeartbeatInterval);
+    // The interval counts from the last attempt, so that an answer that is late or lost does not
+    // delay the next heartbeat.
+    auto const wait = sentAt + kTermHeartbeatInterval - base::Now();
+    co_await net::Sleep(std::clamp(wait, milliseconds{ 0 }, kTermHeartbeatInterval));
+    sentAt = base::Now();
     if (!mIsHolder) {
       continue;
     }
@@ -200,7 +206,8 @@
       .mChanges = { { kDispatchTable, kTermHeartbeatKey, std::to_string(++count) } },
     };
     auto const term = mTerm;
-    auto const result = co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
+    auto const result =
+      co_await mOptions.mStore.Commit(std::move(transaction), kTermHeartbeatInterval);
     if (result.mOutcome == commit_outcome::conflict && mIsHolder && term == mTerm) {
       mOptions.mReplica.Apply(result.mCurrent);
       ReplicaChanged();
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -374,6 +374,24 @@
     cluster.RunUntil([&] { return StoredState(cluster, id).empty(); }, milliseconds{ 5000 }));
 }
 
+// Guards against a takeover because of one term heartbeat without an answer.
+BOOST_AUTO_TEST_CASE(one_unanswered_term_heartbeat_does_not_vacate_the_term)
+{
+  test_cluster cluster{ 2, 1 };
+  auto const& holder = *cluster.Holder();
+  std::size_t lost = 0;
+  cluster.Holder()->mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
+    if (lost == 0 && aTransaction.Writes(dispatch::kTermHeartbeatKey)) {
+      lost = aTransaction.mNumber;
+    }
+    return aTransaction.mNumber == lost ? transaction_fault::held : transaction_fault::none;
+  };
+  BOOST_REQUIRE(cluster.RunUntil([&] { return lost > 0; }));
+  cluster.RunFor(2 * dispatch::kTermHeartbeatTimeout);
+  BOOST_TEST(holder.mScheduler.IsHolder());
+  BOOST_TEST(holder.mReplica.Term().mNumber == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
