--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -91,11 +91,6 @@
   std::uint64_t TermVersion() const { return mTermVersion; }
   term_lease& Lease() { return mLease; }
   term_succession const& Succession() const { return mSuccession; }
-  /// Whether all rows up to a version have been read.
-  bool IsCompleteUpTo(std::uint64_t aVersion) const
-  {
-    return mDispatchRows.mIsLoaded && mDispatchRows.mVersion >= aVersion;
-  }
   /// The scheduler's run-time statistics in their stored form.
   std::string const& RunTimes() const { return mRunTimes; }
   /// The list of silent sides in its stored form, and the version of its row; empty and 0 if there
@@ -121,6 +116,13 @@
   {
     return mDispatchRows.mIsLoaded && mOperatorRows.mIsLoaded && mConfiguration != nullptr;
   }
+  /// Whether all rows of the dispatch table that were written up to this version have arrived.
+  /// Single rows may be newer: a refused transaction shows them before the feed does, and so does a
+  /// later page of a full read.
+  bool HasAllRowsUntil(std::uint64_t aVersion) const
+  {
+    return IsLoaded() && mDispatchRows.mVersion >= aVersion;
+  }
 
 private:
   /// Read position of a table.
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/lease_timing.h"
 #include "net/sleep.h"
 
+#include <algorithm>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,9 @@
 constexpr milliseconds kTermCommitTimeout{ 1000 };
 /// A link without a report for this long is closed: side agents report at least every 1.5 s.
 constexpr milliseconds kLinkTimeout{ 3000 };
+/// Rows of ended jobs whose removal has failed are removed again after this time; longer than the
+/// removal itself may take.
+constexpr milliseconds kRemovalRetryDelay{ 2000 };
 /// Standbys spread their attempts to take over a vacant term over this time.
 constexpr int kTakeoverSpreadMs = 250;
 
@@ -62,6 +66,13 @@
     if (mIsHolder || mIsReleasing || !mOptions.mReplica.IsLoaded()) {
       continue;
     }
+    if (IsTermOurs()) {
+      base::Log("scheduler")
+        ->info("holder-waits term={} version={}", mOptions.mReplica.Term().mNumber,
+               mOptions.mReplica.TermVersion());
+      ReplicaChanged();
+      continue;
+    }
     // An earlier process on this node has certainly ended.
     auto const isFormerIncarnation = mOptions.mReplica.Term().mNode == mOptions.mSettings.mNode;
     if (isFormerIncarnation || mOptions.mReplica.Lease().IsVacant(base::Now(), ownSpread)) {
@@ -85,22 +96,31 @@
   auto const result = co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
   base::Log("scheduler")
     ->info("take-term number={} outcome={}", number, static_cast<int>(result.mOutcome));
-  // Whatever the outcome, the replicated rows show who holds the term. They also include everything
-  // that the former holder wrote.
+  // Whatever the outcome, the replicated rows show who holds the term.
   if (result.mOutcome == commit_outcome::conflict) {
     replica.Apply(result.mCurrent);
+    ReplicaChanged();
   }
 }
 
-void scheduler::ReplicaChanged()
+bool scheduler::IsTermOurs() const
 {
   auto const& term = mOptions.mReplica.Term();
-  auto const isOurs = term.mNode == mOptions.mSettings.mNode &&
-                      term.mIncarnation == mOptions.mIncarnation && !mIsReleasing;
-  if (isOurs && !mIsHolder) {
+  return term.mNode == mOptions.mSettings.mNode && term.mIncarnation == mOptions.mIncarnation &&
+         !mIsReleasing;
+}
+
+void scheduler::ReplicaChanged()
+{
+  // A holder is the only writer of job states and takes none from the store, so it begins only with
+  // everything that the former holder wrote before the term changed.
+  if (!mIsHolder && IsTermOurs() &&
+      mOptions.mReplica.HasAllRowsUntil(mOptions.mReplica.TermVersion())) {
     BecomeHolder();
-  } else if (!isOurs && mIsHolder) {
+  } else if (mIsHolder && !IsTermOurs()) {
     StepDown("another front holds the term");
+  } else if (mIsHolder && mOptions.mReplica.TermVersion() != mTermVersion) {
+    StepDown("the term has been taken again");
   }
   if (mIsHolder) {
     AdoptSilentSides();
@@ -114,6 +134,7 @@
 {
   mIsHolder = true;
   mTerm = mOptions.mReplica.Term().mNumber;
+  mTermVersion = mOptions.mReplica.TermVersion();
   mHolderSince = base::Now();
   mLeases.clear();
   mFormerHoldersStopBy = mOptions.mReplica.Succession().FormerHoldersStopBy();
@@ -121,7 +142,7 @@
   mUnansweredSince.clear();
   mClaims.clear();
   mOverdueStarts.clear();
-  mDirty.clear();
+  mDirty.Clear();
   mPlanned.clear();
   mBatch.reset();
   mEndedJobs.clear();
@@ -154,7 +175,7 @@
   mOverdueStarts.clear();
   mOptions.mMetrics.Gauge(kOverdueStartsGauge).Set(0);
   mSessions.clear();
-  mDirty.clear();
+  mDirty.Clear();
   mPlanned.clear();
   mBatch.reset();
   // The next holder has none of the changes that this process recorded but did not store.
@@ -168,7 +189,7 @@
     co_return;
   }
   platform::row_transaction transaction{
-    .mConditions = { { kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() } },
+    .mConditions = { { kDispatchTable, kTermKey, mTermVersion } },
     .mChanges = { { kDispatchTable, kTermHeartbeatKey, "released" } },
   };
   StepDown("the process is shutting down");
@@ -178,17 +199,23 @@
 awaitable<void> scheduler::TermHeartbeatLoop()
 {
   std::uint64_t count = 0;
+  base::time_point sentAt{};
   while (true) {
-    co_await net::Sleep(kTermHeartbeatInterval);
+    // The interval counts from the last attempt, so that an answer that is late or lost does not
+    // delay the next heartbeat.
+    auto const wait = sentAt + kTermHeartbeatInterval - base::Now();
+    co_await net::Sleep(std::clamp(wait, milliseconds{ 0 }, kTermHeartbeatInterval));
+    sentAt = base::Now();
     if (!mIsHolder) {
       continue;
     }
     platform::row_transaction transaction{
-      .mConditions = { { kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() } },
+      .mConditions = { { kDispatchTable, kTermKey, mTermVersion } },
       .mChanges = { { kDispatchTable, kTermHeartbeatKey, std::to_string(++count) } },
     };
     auto const term = mTerm;
-    auto const result = co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
+    auto const result =
+      co_await mOptions.mStore.Commit(std::move(transaction), kTermHeartbeatInterval);
     if (result.mOutcome == commit_outcome::conflict && mIsHolder && term == mTerm) {
       mOptions.mReplica.Apply(result.mCurrent);
       ReplicaChanged();
@@ -326,28 +353,36 @@
   constexpr std::size_t kRowsPerJob = 3;
   constexpr std::size_t kMaximumChanges = 90;
   platform::row_transaction transaction;
-  for (auto ended = mEndedJobs.begin(); ended != mEndedJobs.end();) {
-    if (ended->second + retention > aNow ||
+  std::vector<std::string> jobs;
+  for (auto& [id, removableSince] : mEndedJobs) {
+    if (removableSince + retention > aNow ||
         transaction.mChanges.size() + kRowsPerJob > kMaximumChanges) {
-      ++ended;
       continue;
     }
-    auto const& id = ended->first;
     for (auto const* const prefix : { kJobPrefix, kStatePrefix, kCancellationPrefix }) {
       transaction.mChanges.push_back({ kDispatchTable, prefix + id, std::nullopt });
     }
-    ended = mEndedJobs.erase(ended);
+    jobs.push_back(id);
+    // Removed again after a failure of this attempt.
+    removableSince = aNow - retention + kRemovalRetryDelay;
   }
-  if (transaction.mChanges.empty()) {
+  if (jobs.empty()) {
     return;
   }
-  transaction.mConditions.push_back({ kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() });
+  transaction.mConditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   asio::co_spawn(
     mOptions.mContext,
-    [this, transaction = std::move(transaction)]() mutable -> awaitable<void> {
+    [this, term = mTerm, transaction = std::move(transaction),
+     jobs = std::move(jobs)]() mutable -> awaitable<void> {
       auto const result =
         co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
-      base::Log("scheduler")->info("retention outcome={}", static_cast<int>(result.mOutcome));
+      base::Log("scheduler")
+        ->info("retention jobs={} outcome={}", jobs.size(), static_cast<int>(result.mOutcome));
+      if (result.mOutcome == commit_outcome::committed && term == mTerm) {
+        for (auto const& id : jobs) {
+          mEndedJobs.erase(id);
+        }
+      }
     },
     asio::detached);
 }
@@ -369,8 +404,8 @@
     sessions[node] = { { "linked", session->mLink != nullptr },
                        { "state", std::string{ base::Name(session->mReport.mState) } },
                        { "running", session->mReport.mRunning.size() },
-                       { "noted_end", session->mRecordedEnd },
-                       { "stored_end", session->mStoredEnd } };
+                       { "noted_end", session->mEnds.Recorded() },
+                       { "stored_end", session->mEnds.Stored() } };
   }
   auto const now = base::Now();
   base::json overdue = base::json::array();
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "dispatch/change_queue.h"
 #include "dispatch/failure_history.h"
 #include "dispatch/lease_evidence.h"
 #include "dispatch/messages.h"
@@ -8,6 +9,7 @@
 #include "dispatch/permit_cache.h"
 #include "dispatch/placement_decision.h"
 #include "dispatch/replica.h"
+#include "dispatch/run_end_ledger.h"
 #include "dispatch/run_time_estimator.h"
 #include "dispatch/silent_sides.h"
 #include "dispatch/stop_rate_limiter.h"
@@ -65,9 +67,7 @@
     base::time_point mReportedAt{};
     /// Whether the last orders did not answer a report, as the store may list the side as silent.
     bool mIsAnswerWithheld = false;
-    /// Highest run end that is recorded in memory, and in the store.
-    std::int64_t mRecordedEnd = 0;
-    std::int64_t mStoredEnd = 0;
+    run_end_ledger mEnds;
     std::vector<start_order> mStarts;
     std::vector<stop_order> mStops;
     std::vector<pace_order> mPaces;
@@ -113,6 +113,8 @@
     /// The jobs of the transaction, each with the phase that it stores.
     std::vector<std::pair<std::string, job_phase>> mJobs;
     std::vector<planned_start> mStarts;
+    bool mHasRunTimes = false;
+    /// By node: the highest run end that was recorded before the transaction.
     std::map<std::string, std::int64_t> mEnds;
     std::uint32_t mAttempts = 0;
     base::time_point mPendingLoggedAt{};
@@ -120,6 +122,7 @@
 
   boost::asio::awaitable<void> RoleLoop();
   boost::asio::awaitable<void> TakeTerm();
+  bool IsTermOurs() const;
   boost::asio::awaitable<void> TermHeartbeatLoop();
   boost::asio::awaitable<void> Tick();
   boost::asio::awaitable<void> FlushLoop();
@@ -208,10 +211,11 @@
   queue const* QueueOf(job_record const& aJob) const;
   std::uint32_t PriorityOf(job_record const& aJob) const;
   bool BuildBatch();
+  /// Ends of jobs without changes to store need no transaction.
+  void MarkEndsOfUnchangedJobs(session& aSession);
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
-  bool IsBatchInStore(std::vector<platform::store_row> const& aCurrent) const;
   void SendStart(planned_start const& aStart);
 
   /// Tasks that wait although there is room for them.
@@ -221,6 +225,8 @@
   bool mIsHolder = false;
   bool mIsReleasing = false;
   std::uint64_t mTerm = 0;
+  /// Version of the term's row, which every transaction of the holder expects.
+  std::uint64_t mTermVersion = 0;
   base::time_point mHolderSince{};
   std::map<std::string, std::unique_ptr<session>> mSessions;
   /// By node; outlives the session, which a new address of the side replaces.
@@ -235,7 +241,7 @@
   std::vector<overdue_start> mOverdueStarts;
   base::time_point mStartsScannedAt{};
   base::time_point mOverdueStartsLoggedAt{};
-  std::set<std::string> mDirty;
+  change_queue mDirty;
   std::vector<planned_start> mPlanned;
   /// Workers that waiting groups have claimed in the last decision.
   std::vector<placement_claim> mClaims;
--- a/source/dispatch/scheduler_silence.cpp
+++ b/source/dispatch/scheduler_silence.cpp
@@ -28,7 +28,7 @@
   auto const& replica = mOptions.mReplica;
   // The former holder may have removed a side from the list, and answered it, right before the
   // takeover.
-  if (mSilentSides.IsAdopted() || !replica.IsCompleteUpTo(replica.TermVersion())) {
+  if (mSilentSides.IsAdopted() || !replica.HasAllRowsUntil(mTermVersion)) {
     return;
   }
   mSilentSides.Adopt(replica.SilentSides(), replica.SilentSidesVersion());
@@ -103,7 +103,7 @@
   auto const term = mTerm;
   auto const text = mSilentSides.BeginWrite();
   platform::row_transaction transaction{
-    .mConditions = { { kDispatchTable, kTermKey, mOptions.mReplica.TermVersion() },
+    .mConditions = { { kDispatchTable, kTermKey, mTermVersion },
                      { kDispatchTable, kSilentSidesKey, mSilentSides.Version() } },
     .mChanges = { { kDispatchTable, kSilentSidesKey, text } },
   };
