Tests: Judge random orders of losses by what callers and workers see

The tests had one case for each known order; nothing judged the property that covers the class.

Change: random_losses_test draws 7 to 14 overlapping losses and operators' changes and 10 to 15 jobs from one generator, plays them on the in-process cluster and judges by the answers of the callers and the runs of the workers alone. Once the losses are over, every task whose turn has come has a live run within 3 s for a takeover, kMaximumStoreSilence, LeaseExpiryBound and 2 s for the next start (16.24 s for the leases of 2 s that the test sets), and every accepted job is shown as ended by all fronts. At all times: no two runs at once, no start after an acknowledged success or after the last attempt, before its turn or with another task's checkpoint, no refused job runs, no 410 for an accepted job, no state that the runs do not bear out. The fake worker gains gangs that begin and end together, run times from the command, lost, late and suspended calls, and departures; a late order now reaches only the incarnation it was sent to. The fake store writes late or slowly. Sides can be reached through a relay that resets or holds back bytes. A frozen side receives no heartbeats any more. run_recorder moved to its own header; its check of a start after a success is unchanged for the existing tests. With success::acknowledged, which only this test uses, a success that was lost with its worker before it was acknowledged may be followed by another run, as the users' rule has it.

Advised queues are not drawn.

--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -28,12 +28,18 @@
     /// Accepts the call, has no effect and does not answer.
     silent,
     /// Carries out the call and loses the answer.
-    loses_answers
+    loses_answers,
+    /// Carries out transactions after mDelay and loses all answers.
+    late,
+    /// Carries out the call after mDelay.
+    slow
   };
 
   struct client_endpoint
   {
     behavior mBehavior = behavior::serves;
+    /// Delay of the behaviors late and slow.
+    base::milliseconds mDelay{ 0 };
     /// Polls of the dispatch table.
     std::size_t mDispatchPolls = 0;
     std::unique_ptr<net::http_server> mServer;
@@ -69,6 +75,20 @@
     Write(aTable, aKey, std::nullopt);
   }
 
+  /// Removes all rows whose keys begin with a prefix.
+  void RemoveAll(std::string const& aTable, std::string const& aPrefix)
+  {
+    std::vector<std::string> keys;
+    for (auto const& [rowName, stored] : mRows) {
+      if (rowName.first == aTable && rowName.second.starts_with(aPrefix)) {
+        keys.push_back(rowName.second);
+      }
+    }
+    for (auto const& key : keys) {
+      Remove(aTable, key);
+    }
+  }
+
   /// Clients that request older changes have to read the table again.
   void DiscardHistory()
   {
@@ -150,8 +170,13 @@
       co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
       co_return LostResponse();
     }
+    if (behavior == behavior::late || behavior == behavior::slow) {
+      boost::asio::steady_timer timer{ mContext, aEndpoint.mDelay };
+      boost::system::error_code ignored;
+      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
     auto response = co_await mRouter.Handle(std::move(aRequest));
-    if (behavior == behavior::loses_answers) {
+    if (behavior == behavior::loses_answers || behavior == behavior::late) {
       response.mTransfer = net::response_transfer::none;
     }
     co_return response;
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -3,11 +3,13 @@
 #include "base/time.h"
 #include "net/http_router.h"
 #include "net/http_server.h"
+#include "platform/tests/run_recorder.h"
 
+#include <charconv>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,46 +19,6 @@
 
 namespace rattanpond::platform {
 
-/// Records the runs of all workers of a test; reports a task that runs twice at the same time, or
-/// that starts again after a recorded success.
-class run_recorder
-{
-public:
-  void Started(std::string const& aTask)
-  {
-    if (mActive.contains(aTask)) {
-      mFaults.push_back("two runs at once: " + aTask);
-    }
-    if (mDone.contains(aTask)) {
-      mFaults.push_back("start after done: " + aTask);
-    }
-    mActive.insert(aTask);
-    ++mStarts[aTask];
-  }
-  void Ended(std::string const& aTask, std::string const& aEndKind)
-  {
-    mActive.erase(mActive.find(aTask));
-    if (aEndKind == "done") {
-      mDone.insert(aTask);
-    }
-  }
-
-  std::vector<std::string> const& Faults() const { return mFaults; }
-  std::size_t Starts(std::string const& aTask) const
-  {
-    auto const found = mStarts.find(aTask);
-    return found == mStarts.end() ? 0 : found->second;
-  }
-  std::size_t ActiveRuns() const { return mActive.size(); }
-  std::size_t TasksStarted() const { return mStarts.size(); }
-
-private:
-  std::multiset<std::string> mActive;
-  std::set<std::string> mDone;
-  std::map<std::string, std::size_t> mStarts;
-  std::vector<std::string> mFaults;
-};
-
 /// In-memory worker with leases on its own clock, fences, runs, and run ends that are listed until
 /// they are acknowledged.
 class fake_worker
@@ -79,6 +41,18 @@
     bool mDropsOrders = false;
     /// Starts that do not carry this ticket are refused.
     std::string mTicket{};
+    /// The worker's machine is off: no call is carried out or answered.
+    bool mIsDown = false;
+    /// Calls are carried out and answered once the worker is no longer suspended.
+    bool mIsSuspended = false;
+    /// All orders are carried out at once and answered after mAnswerDelay.
+    bool mAnswersLate = false;
+    /// Defect for tests of the judgement: ends are listed as this kind, whatever they are.
+    std::string mListedEnd{};
+    /// Defect for tests of the judgement: starts are answered and listed, but nothing runs.
+    bool mPretendsToRun = false;
+    /// Defect for tests of the judgement: a run that starts is listed as stopped, and continues.
+    bool mHidesRuns = false;
   };
 
   /// Tasks of this job serve users; mResponseTimeTail is their tail response time in milliseconds.
@@ -119,17 +93,19 @@
   std::string Heartbeat(std::string const& aDomain, std::string const& aRack,
                         std::string const& aState = "ready")
   {
-    return base::json{
-      { "service", "service" },
-      { "address", net::ToString(Endpoint()) },
-      { "zone", aDomain },
-      { "state", aState },
-      { "capacity", { { "cpu", 64000 }, { "mem_mb", 262144 }, { "gpu", 8 } } },
-      { "labels", { "a", aRack } },
-      { "clock_ms", Clock() },
-      { "seq", ++mHeartbeats },
-      { "born", mIncarnationStart }
-    }.dump();
+    base::json heartbeat{ { "service", "service" },
+                          { "address", net::ToString(Endpoint()) },
+                          { "zone", aDomain },
+                          { "state", aState },
+                          { "capacity", { { "cpu", 64000 }, { "mem_mb", 262144 }, { "gpu", 8 } } },
+                          { "labels", { "a", aRack } },
+                          { "clock_ms", Clock() },
+                          { "seq", ++mHeartbeats },
+                          { "born", mIncarnationStart } };
+    if (mTimeLeft) {
+      heartbeat["remaining_ms"] = mTimeLeft->count();
+    }
+    return heartbeat.dump();
   }
 
   /// Refuses connections from now on; active runs continue.
@@ -139,7 +115,12 @@
   void Crash()
   {
     for (auto const& [task, run] : mRuns) {
-      mRecorder.Ended(task, "crashed");
+      if (!run.mIsPretended) {
+        mRecorder.Ended(task, "crashed", run.mRun, mId);
+      }
+    }
+    for (auto const& end : mEnds) {
+      mRecorder.EndLost(end.mTask, end.mRun, end.mEndKind);
     }
     mRuns.clear();
     mEnds.clear();
@@ -152,15 +133,28 @@
     mStartedAt = base::Now();
   }
 
+  /// Crashes; the next incarnation has another identifier.
+  void Crash(std::string aNextId)
+  {
+    Crash();
+    mId = std::move(aNextId);
+  }
+
+  std::int64_t IncarnationStart() const { return mIncarnationStart; }
+  void SetIncarnationStart(std::int64_t aStart) { mIncarnationStart = aStart; }
+
   /// Adds a run that the worker lists without having received an order to start it.
   void AddUnorderedRun(std::string const& aTask, std::uint32_t aRun)
   {
-    mRuns[aTask] = { aRun, base::Now() + mWork };
+    mRuns[aTask] = { .mRun = aRun, .mWork = mWork, .mEndsAt = base::Now() + mWork };
     mDeadline = std::max(mDeadline, Clock() + 8000);
-    mRecorder.Started(aTask);
+    mRecorder.Started(aTask, aRun, mId);
   }
 
   faults mFaults;
+  /// Time left until the worker leaves, stated while it drains.
+  std::optional<base::milliseconds> mTimeLeft{};
+  /// Run time of tasks whose command is not a number of milliseconds.
   base::milliseconds mWork{ 300 };
   std::size_t mStopCalls = 0;
   std::size_t mLeaseExpirations = 0;
@@ -168,11 +162,20 @@
   std::size_t mTicketRefusals = 0;
 
 private:
+  /// Members of a gang wait this long for the others.
+  static constexpr base::milliseconds kGangTimeout{ 3000 };
+
   struct run
   {
     std::uint32_t mRun = 0;
+    base::milliseconds mWork{ 0 };
+    /// For a member of a gang, the time at which it gives up if the others are not present.
     base::time_point mEndsAt{};
     bool mIsStopping = false;
+    /// Whether the progress is listed as the share of mWork.
+    bool mListsProgress = false;
+    bool mIsPretended = false;
+    bool mIsHidden = false;
   };
 
   struct end
@@ -180,14 +183,35 @@
     std::int64_t mNumber = 0;
     std::string mTask;
     std::uint32_t mRun = 0;
+    /// As listed, and as it was.
+    std::string mListed;
     std::string mEndKind;
+    base::time_point mAt{};
+    /// The lease has expired since.
+    bool mIsLapsed = false;
   };
 
-  std::int64_t Percent(run const& aRun) const
+  std::int64_t Percent(std::string const& aTask, run const& aRun)
   {
-    auto const worked = base::Now() - (aRun.mEndsAt - mWork);
-    return mProgressTime.count() == 0 ? 50
-                                      : std::min<std::int64_t>(100, 100 * worked / mProgressTime);
+    auto const now = base::Now();
+    if (!aRun.mListsProgress) {
+      auto const worked = now - (aRun.mEndsAt - aRun.mWork);
+      return mProgressTime.count() == 0 ? 50
+                                        : std::min<std::int64_t>(100, 100 * worked / mProgressTime);
+    }
+    auto const* const gang = mRecorder.Gang(aTask, aRun.mRun);
+    if (gang != nullptr && !gang->mBeganAt) {
+      return 0;
+    }
+    auto const began = gang != nullptr ? *gang->mBeganAt : aRun.mEndsAt - aRun.mWork;
+    return std::min<std::int64_t>(100, 100 * (now - began) / aRun.mWork);
+  }
+
+  std::string CheckpointOf(std::string const& aTask, run const& aRun)
+  {
+    return aRun.mListsProgress && mRecorder.IsCheckpointable(aTask)
+             ? aTask + "@" + std::to_string(aRun.mRun)
+             : mCheckpoint;
   }
 
   std::int64_t Clock() const { return 1000 + (base::Now() - mStartedAt).count(); }
@@ -203,32 +227,73 @@
     });
   }
 
-  void Advance()
+  void NoteLapse()
+  {
+    if (Clock() > mDeadline) {
+      for (auto& end : mEnds) {
+        end.mIsLapsed = true;
+      }
+    }
+  }
+
+  /// How a run ends now; empty if it continues.
+  std::string EndOf(std::string const& aTask, run const& aRun)
   {
     auto const now = base::Now();
-    auto const isExpired = !mRuns.empty() && Clock() > mDeadline;
-    std::vector<std::pair<std::string, std::string>> ending;
-    for (auto const& [task, run] : mRuns) {
-      if (isExpired) {
-        ending.emplace_back(task, "lapsed");
-        ++mLeaseExpirations;
-      } else if (now >= run.mEndsAt) {
-        ending.emplace_back(task, run.mIsStopping     ? "stopped"
-                                  : mFaults.mFailsAll ? "failed"
-                                                      : "done");
+    if (Clock() > mDeadline) {
+      ++mLeaseExpirations;
+      return "lapsed";
+    }
+    std::string const own = mFaults.mFailsAll ? "failed" : "done";
+    if (auto const* const gang = mRecorder.Gang(aTask, aRun.mRun)) {
+      if (!gang->mEnd.empty()) {
+        return gang->mEnd == "done" ? "done" : "broken";
+      }
+      if (aRun.mIsStopping) {
+        return now >= aRun.mEndsAt ? "stopped" : "";
+      }
+      if (gang->mBeganAt) {
+        return now >= *gang->mBeganAt + aRun.mWork ? own : "";
       }
+      return now >= aRun.mEndsAt ? "alone" : "";
     }
-    for (auto const& [task, endKind] : ending) {
-      End(task, endKind);
+    if (now < aRun.mEndsAt || aRun.mIsPretended) {
+      return {};
+    }
+    return aRun.mIsStopping ? "stopped" : own;
+  }
+
+  void Advance()
+  {
+    NoteLapse();
+    std::vector<std::string> tasks;
+    for (auto const& [task, run] : mRuns) {
+      tasks.push_back(task);
+    }
+    for (auto const& task : tasks) {
+      auto const kind = EndOf(task, mRuns.at(task));
+      if (!kind.empty()) {
+        End(task, kind);
+      }
     }
   }
 
   void End(std::string const& aTask, std::string const& aEndKind)
   {
-    mEnds.push_back({ mNextEnd++, aTask, mRuns.at(aTask).mRun, aEndKind });
-    mHighestRun[aTask] = std::max(mHighestRun[aTask], mRuns.at(aTask).mRun);
+    auto const ended = mRuns.at(aTask);
+    mHighestRun[aTask] = std::max(mHighestRun[aTask], ended.mRun);
     mRuns.erase(aTask);
-    mRecorder.Ended(aTask, aEndKind);
+    if (!ended.mIsHidden) {
+      mEnds.push_back({ .mNumber = mNextEnd++,
+                        .mTask = aTask,
+                        .mRun = ended.mRun,
+                        .mListed = mFaults.mListedEnd.empty() ? aEndKind : mFaults.mListedEnd,
+                        .mEndKind = aEndKind,
+                        .mAt = base::Now() });
+    }
+    if (!ended.mIsPretended) {
+      mRecorder.Ended(aTask, aEndKind, ended.mRun, mId);
+    }
   }
 
   base::json Answer(std::string const& aReason = {}) const
@@ -262,19 +327,33 @@
     });
   }
 
+  boost::asio::awaitable<void> Wait(base::milliseconds aTime)
+  {
+    boost::asio::steady_timer timer{ mContext, aTime };
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
   boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest)
   {
+    constexpr base::milliseconds kStep{ 5 };
     auto const isOrder = aRequest.mTarget != "/api/hold";
     auto const delay = mFaults.mOrderDelay;
+    // The connections of an incarnation end with it.
+    auto const incarnationStart = mIncarnationStart;
     net::http_response lost;
     lost.mTransfer = net::response_transfer::none;
+    while (mFaults.mIsSuspended) {
+      co_await Wait(kStep);
+    }
+    if (mFaults.mIsDown || incarnationStart != mIncarnationStart) {
+      co_return lost;
+    }
     if (mFaults.mIsUnresponsive || (isOrder && delay.count() > 0)) {
-      boost::asio::steady_timer timer{ mContext, mFaults.mIsUnresponsive
-                                                   ? base::milliseconds{ 60'000 }
-                                                   : delay };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-      if (!mFaults.mIsUnresponsive) {
+      co_await Wait(mFaults.mIsUnresponsive ? base::milliseconds{ 60'000 } : delay);
+      auto const isAddressed = aRequest.mHeaders.Value("X-Expect-Instance") == mId;
+      if (!mFaults.mIsUnresponsive && !mFaults.mIsDown && isAddressed &&
+          incarnationStart == mIncarnationStart) {
         co_await mRouter.Handle(std::move(aRequest));
       }
       co_return lost;
@@ -288,12 +367,14 @@
       co_return net::JsonResponse(421, Answer());
     }
     auto const isSlow =
-      !mFaults.mSlowTask.empty() && aRequest.mBody.find(mFaults.mSlowTask) != std::string::npos;
+      (isOrder && mFaults.mAnswersLate) ||
+      (!mFaults.mSlowTask.empty() && aRequest.mBody.find(mFaults.mSlowTask) != std::string::npos);
     auto response = co_await mRouter.Handle(std::move(aRequest));
     if (isSlow) {
-      boost::asio::steady_timer timer{ mContext, mFaults.mAnswerDelay };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      co_await Wait(mFaults.mAnswerDelay);
+    }
+    if (mFaults.mIsDown || incarnationStart != mIncarnationStart) {
+      co_return lost;
     }
     co_return response;
   }
@@ -331,9 +412,31 @@
     if (number <= mHighestRun[task]) {
       return net::JsonResponse(409, Answer("old"));
     }
-    mRuns[task] = { number, base::Now() + mWork };
+    auto const command = aBody.value("spec", std::string{});
+    std::int64_t commandMs = 0;
+    auto const [last, failure] =
+      std::from_chars(command.data(), command.data() + command.size(), commandMs);
+    auto const isTimed = failure == std::errc{} && last == command.data() + command.size();
     mResumedFrom = aBody.value("last_checkpoint", std::string{});
-    mRecorder.Started(task);
+    run started{ .mRun = number,
+                 .mWork = isTimed ? base::milliseconds{ commandMs } : mWork,
+                 .mListsProgress = isTimed,
+                 .mIsPretended = mFaults.mPretendsToRun,
+                 .mIsHidden = mFaults.mHidesRuns };
+    if (!started.mIsPretended) {
+      mRecorder.Started(task, number, mId, mResumedFrom);
+    }
+    started.mEndsAt =
+      base::Now() + (mRecorder.Gang(task, number) != nullptr ? kGangTimeout : started.mWork);
+    if (started.mIsHidden) {
+      mEnds.push_back({ .mNumber = mNextEnd++,
+                        .mTask = task,
+                        .mRun = number,
+                        .mListed = "stopped",
+                        .mEndKind = "stopped",
+                        .mAt = base::Now() });
+    }
+    mRuns[task] = started;
     ++mStarted;
     return net::JsonResponse(200, Answer());
   }
@@ -359,26 +462,35 @@
     if (IsFenced(aBody)) {
       co_return net::JsonResponse(409, Answer("fence"));
     }
+    NoteLapse();
     mDeadline = std::max(mDeadline, aBody.value("deadline_ms", std::int64_t{ 0 }));
     auto const acknowledged = aBody.value("ack_cursor", std::int64_t{ 0 });
-    std::erase_if(mEnds, [&](end const& aEnd) { return aEnd.mNumber <= acknowledged; });
+    std::erase_if(mEnds, [&](end const& aEnd) {
+      if (aEnd.mNumber > acknowledged) {
+        return false;
+      }
+      mRecorder.Acknowledged(aEnd.mTask, aEnd.mRun, aEnd.mEndKind, aEnd.mAt, aEnd.mIsLapsed);
+      return true;
+    });
     auto const until = base::Now() + base::milliseconds{ aBody.value("wait_ms", 0) };
     auto const last = mNextEnd;
     while (base::Now() < until && mNextEnd == last) {
-      boost::asio::steady_timer timer{ mContext, base::milliseconds{ 5 } };
-      boost::system::error_code ignored;
-      co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      co_await Wait(base::milliseconds{ 5 });
     }
     auto body = Answer();
     body["running"] = base::json::array();
     body["finished"] = base::json::array();
     for (auto const& [task, run] : mRuns) {
+      if (run.mIsHidden) {
+        continue;
+      }
       auto const isServing = !mServingJob.empty() && task.starts_with(mServingJob);
-      body["running"].push_back({ task, run.mRun, mCheckpoint, isServing ? 100 : Percent(run),
+      body["running"].push_back({ task, run.mRun, CheckpointOf(task, run),
+                                  isServing ? 100 : Percent(task, run),
                                   isServing ? mResponseTimeTail : 1000 });
     }
     for (auto const& end : mEnds) {
-      body["finished"].push_back({ end.mNumber, end.mTask, end.mRun, end.mEndKind, "" });
+      body["finished"].push_back({ end.mNumber, end.mTask, end.mRun, end.mListed, "" });
     }
     co_return net::JsonResponse(200, body);
   }
--- a/source/platform/tests/test_cluster.h
+++ b/source/platform/tests/test_cluster.h
@@ -72,9 +72,11 @@
 /// A front with its own io_context, so that a test can freeze it separately.
 struct test_front
 {
-  test_front(fake_row_store& aStore, std::string aName, net::tcp::endpoint const& aAdvice)
+  test_front(fake_row_store& aStore, std::string aName, net::tcp::endpoint const& aAdvice,
+             std::string const& aIncarnation = "1",
+             base::milliseconds aMaximumLease = deployment_settings{}.mMaximumLease)
     : mStoreEndpoint{ aStore.AddEndpoint() }
-    , mSettings{ .mNode = aName, .mAdvice = aAdvice }
+    , mSettings{ .mNode = aName, .mAdvice = aAdvice, .mMaximumLease = aMaximumLease }
     , mStore{ mContext, mStoreEndpoint.mServer->Endpoint() }
     , mReplica{ { .mContext = mContext,
                   .mStore = mStore,
@@ -85,7 +87,7 @@
                     .mReplica = mReplica,
                     .mSettings = mSettings,
                     .mMetrics = mMetrics,
-                    .mIncarnation = aName } }
+                    .mIncarnation = aName + "/" + aIncarnation } }
     , mCallers{ { .mContext = mContext,
                   .mStore = mStore,
                   .mReplica = mReplica,
@@ -119,22 +121,45 @@
   bool mIsFrozen = false;
 };
 
+/// Size and settings of a test_cluster.
+struct cluster_options
+{
+  int mFronts = 2;
+  int mSides = 3;
+  int mRacks = 1;
+  link_path mLinkPath = link_path::direct;
+  base::milliseconds mMaximumLease = deployment_settings{}.mMaximumLease;
+  run_recorder::success mSuccess = run_recorder::success::ended;
+  /// Whether the constructor waits until a front holds the term.
+  bool mWaitsForHolder = true;
+};
+
 /// Fronts and side agents with an in-memory store, advice service and workers.
 struct test_cluster
 {
   explicit test_cluster(int aFronts = 2, int aSides = 3)
+    : test_cluster{ cluster_options{ .mFronts = aFronts, .mSides = aSides } }
+  {
+  }
+
+  explicit test_cluster(cluster_options const& aOptions)
+    : mOptions{ aOptions }
+    , mRecorder{ aOptions.mSuccess }
   {
     mStore.Put(kOperatorTable, kConfigurationKey, Configuration(1));
-    for (int index = 0; index < aSides; ++index) {
-      mSides.push_back(std::make_unique<test_side>(mStore, mSharedContext, mRecorder,
-                                                   "side-" + std::to_string(index),
-                                                   "zone-" + std::to_string(index % 2)));
+    for (int index = 0; index < mOptions.mSides; ++index) {
+      mSides.push_back(std::make_unique<test_side>(
+        mStore, mSharedContext, mRecorder, "side-" + std::to_string(index),
+        "zone-" + std::to_string(index % 2), mOptions.mLinkPath, mOptions.mMaximumLease));
+      mSides.back()->mRack = "r" + std::to_string(1 + index % mOptions.mRacks);
+    }
+    for (int index = 0; index < mOptions.mFronts; ++index) {
+      mFronts.push_back(std::make_unique<test_front>(
+        mStore, "front-" + std::to_string(index), mAdvice.Endpoint(), "1", mOptions.mMaximumLease));
     }
-    for (int index = 0; index < aFronts; ++index) {
-      mFronts.push_back(
-        std::make_unique<test_front>(mStore, "front-" + std::to_string(index), mAdvice.Endpoint()));
+    if (mOptions.mWaitsForHolder) {
+      BOOST_REQUIRE(RunUntil([this] { return Holder() != nullptr; }));
     }
-    BOOST_REQUIRE(RunUntil([this] { return Holder() != nullptr; }));
   }
 
   void Step()
@@ -143,7 +168,7 @@
     if (now - mHeartbeatAt > base::milliseconds{ 500 }) {
       mHeartbeatAt = now;
       for (auto const& side : mSides) {
-        if (side->mSendsHeartbeats) {
+        if (side->mSendsHeartbeats && !side->mIsFrozen) {
           side->SendHeartbeat(side->mWorkerState);
         }
       }
@@ -209,13 +234,30 @@
     auto& side = mSides[aIndex];
     auto const name = side->mSettings.mNode;
     auto const domain = side->mDomain;
+    auto const rack = side->mRack;
     // Handlers of the former worker are pending in the shared context.
     mFormerSides.push_back(std::move(side));
-    side = std::make_unique<test_side>(mStore, mSharedContext, mRecorder, name, domain);
+    side = std::make_unique<test_side>(mStore, mSharedContext, mRecorder, name, domain,
+                                       mOptions.mLinkPath, mOptions.mMaximumLease);
+    side->mRack = rack;
     side->mSendsHeartbeats = false;
     return *side;
   }
 
+  /// Replaces the front by another process; the former one does nothing any more, and its
+  /// connections stay open.
+  test_front& RestartFront(std::size_t aIndex)
+  {
+    auto& front = mFronts[aIndex];
+    auto const name = front->mSettings.mNode;
+    front->mIsFrozen = true;
+    mFormerFronts.push_back(std::move(front));
+    front = std::make_unique<test_front>(mStore, name, mAdvice.Endpoint(),
+                                         std::to_string(mFormerFronts.size() + 1),
+                                         mOptions.mMaximumLease);
+    return *front;
+  }
+
   unsigned Call(test_front& aFront, std::string aMethod, std::string aPath, std::string aBody = {},
                 std::string const& aKey = kKey, forwarding aForwarding = forwarding::allowed)
   {
@@ -250,6 +292,7 @@
     return RunUntil([&] { return State(aPath) == aState; }, aLimit);
   }
 
+  cluster_options mOptions;
   boost::asio::io_context mSharedContext{ 1 };
   fake_row_store mStore{ mSharedContext };
   fake_advice mAdvice{ mSharedContext };
@@ -257,6 +300,7 @@
   std::vector<std::unique_ptr<test_side>> mSides;
   std::vector<std::unique_ptr<test_side>> mFormerSides;
   std::vector<std::unique_ptr<test_front>> mFronts;
+  std::vector<std::unique_ptr<test_front>> mFormerFronts;
   base::time_point mHeartbeatAt{};
   std::string mLastBody;
 };
