--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -29,7 +29,11 @@
     /// Accepts the call, has no effect and does not answer.
     silent,
     /// Carries out the call and loses the answer.
-    loses_answers
+    loses_answers,
+    /// Carries out transactions after mDelay and loses all answers.
+    late,
+    /// Carries out the call after mDelay.
+    slow
   };
 
   /// What happens to one transaction of a client.
@@ -73,6 +77,8 @@
     bool mDelaysDispatchAnswers = false;
     /// Delayed answers that contain rows.
     std::size_t mDelayedAnswers = 0;
+    /// Delay of the behaviors late and slow.
+    base::milliseconds mDelay{ 0 };
     /// Polls of the dispatch table.
     std::size_t mDispatchPolls = 0;
     std::unique_ptr<net::http_server> mServer;
@@ -108,6 +114,20 @@
     Write(aTable, aKey, std::nullopt);
   }
 
+  /// Removes all rows whose keys begin with a prefix.
+  void RemoveAll(std::string const& aTable, std::string const& aPrefix)
+  {
+    std::vector<std::string> keys;
+    for (auto const& [rowName, stored] : mRows) {
+      if (rowName.first == aTable && rowName.second.starts_with(aPrefix)) {
+        keys.push_back(rowName.second);
+      }
+    }
+    for (auto const& key : keys) {
+      Remove(aTable, key);
+    }
+  }
+
   /// Clients that request older changes have to read the table again.
   void DiscardHistory()
   {
@@ -209,6 +229,9 @@
     if (fault == transaction_fault::refused) {
       co_return net::JsonResponse(503, base::json::object());
     }
+    if (behavior == behavior::late || behavior == behavior::slow) {
+      co_await Wait(aEndpoint.mDelay);
+    }
     auto response = co_await mRouter.Handle(std::move(aRequest));
     aEndpoint.mConflicts += response.mStatus == 412 ? 1 : 0;
     if (isDispatchPoll && aEndpoint.mDelaysDispatchAnswers &&
@@ -218,7 +241,8 @@
         co_await Wait(kStep);
       }
     }
-    if (behavior == behavior::loses_answers || fault == transaction_fault::answer_lost) {
+    if (behavior == behavior::loses_answers || behavior == behavior::late ||
+        fault == transaction_fault::answer_lost) {
       response.mTransfer = net::response_transfer::none;
     }
     co_return response;
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -242,11 +242,12 @@
   auto const id = JobId(1);
   auto isHeld = true;
   front.mStoreEndpoint.mOnTransaction = [&](client_transaction const& aTransaction) {
-    auto const isEnd = cluster.mRecorder.IsDone(FirstTask(id)) && aTransaction.Writes(StateKey(id));
+    auto const isEnd =
+      cluster.mRecorder.HasEndedDone(FirstTask(id)) && aTransaction.Writes(StateKey(id));
     return isEnd && isHeld ? transaction_fault::held : transaction_fault::none;
   };
   BOOST_TEST(cluster.Call(front, "POST", "/u/" + id, JobBody(1, 1)) == 200U);
-  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.IsDone(FirstTask(id)); }));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.HasEndedDone(FirstTask(id)); }));
   cluster.RunFor(milliseconds{ 300 });
   side.StartAgent(cluster.mStore);
   cluster.RunFor(milliseconds{ 3000 });
@@ -315,7 +316,7 @@
   BOOST_REQUIRE(cluster.RunUntil(
     [&] { return cluster.mRecorder.ActiveRuns() == kOthers * kTasks + 1; }, kFirstEnd));
   front.mStoreEndpoint.mTransactionTime = kSlowTransaction;
-  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.IsDone(FirstTask(last)); }));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.HasEndedDone(FirstTask(last)); }));
   // All jobs fit into two transactions; one more is under way, and reports take their time.
   BOOST_TEST(Reaches(cluster, front, last, "done", 5 * kSlowTransaction));
   BOOST_TEST(cluster.RunUntil(
