Tests: Suspend the side before it has the answer to its start

Cause: the test of a suspended side suspended it only after it had sent the poll that renews the lease, so it passed without the renewal before the start. Change: the answer to the start is late, and the side is suspended before it. Result: without that renewal the run lapses and the test fails; with it the test passes.

--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -300,6 +300,9 @@
   linked_side linked;
   auto& side = linked.mSide;
   side.mWorker.mWork = milliseconds{ 60'000 };
+  // The side is suspended before it has the answer.
+  side.mWorker.mFaults.mSlowTask = "0000.0.0.0";
+  side.mWorker.mFaults.mAnswerDelay = milliseconds{ 350 };
   side.SendHeartbeat();
   BOOST_REQUIRE(linked.HasRunLists());
   linked.OrderStart("0000.0.0.0");
