Dispatch: Begin again only with a new term

Callers would see: a task run twice at once. Cause: a holder that stepped down because of another state of a job still held the term by its row, and began again in it. The leases that it had renewed until then were counted from the first sight of the term, so that runs of sides which had not reported again were given up at once; orders and transactions of before passed as those of the present. Change: a front that stepped down takes a new term before it begins again. Its number raises the fence, and the version of its row refuses late transactions.

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -66,14 +66,15 @@
     if (mIsHolder || mIsReleasing || !mOptions.mReplica.IsLoaded()) {
       continue;
     }
-    if (IsTermOurs()) {
+    if (IsTermOurs() && mOptions.mReplica.TermVersion() != mTermVersion) {
       base::Log("scheduler")
         ->info("holder-waits term={} version={}", mOptions.mReplica.Term().mNumber,
                mOptions.mReplica.TermVersion());
       ReplicaChanged();
       continue;
     }
-    // An earlier process on this node has certainly ended.
+    // An earlier process on this node has certainly ended, and a term of this process that it has
+    // stepped down from is over.
     auto const isFormerIncarnation = mOptions.mReplica.Term().mNode == mOptions.mSettings.mNode;
     if (isFormerIncarnation || mOptions.mReplica.Lease().IsVacant(base::Now(), ownSpread)) {
       co_await TakeTerm();
@@ -114,12 +115,15 @@
 {
   // A holder is the only writer of job states and takes none from the store, so it begins only with
   // everything that the former holder wrote before the term changed.
-  if (!mIsHolder && IsTermOurs() &&
-      mOptions.mReplica.HasAllRowsUntil(mOptions.mReplica.TermVersion())) {
+  auto const termVersion = mOptions.mReplica.TermVersion();
+  // Orders and transactions of a term that it stepped down from may still be under way, so it takes
+  // another one before it begins again.
+  auto const isNewTerm = termVersion != mTermVersion;
+  if (!mIsHolder && IsTermOurs() && isNewTerm && mOptions.mReplica.HasAllRowsUntil(termVersion)) {
     BecomeHolder();
   } else if (mIsHolder && !IsTermOurs()) {
     StepDown("another front holds the term");
-  } else if (mIsHolder && mOptions.mReplica.TermVersion() != mTermVersion) {
+  } else if (mIsHolder && isNewTerm) {
     StepDown("the term has been taken again");
   }
   if (mIsHolder) {
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -172,7 +172,8 @@
 }
 
 // Guards against a holder that steps down and begins again with the same outdated states: an own
-// transaction that had been given up took effect late.
+// transaction that had been given up took effect late. It begins a new term, as orders of the
+// former one may still be under way and leases that it renewed there may not have expired.
 BOOST_AUTO_TEST_CASE(a_holder_reads_the_states_again_before_it_begins_again)
 {
   test_cluster cluster{ 1, 2 };
@@ -219,12 +220,14 @@
   BOOST_REQUIRE(cluster.RunUntil([&] { return !StoredState(cluster, id).empty(); }));
   isNextHeld = false;
   front.mStoreEndpoint.mConflicts = 0;
+  auto const formerTerm = front.mScheduler.Dump().at("term").get<std::uint64_t>();
   // Each change of the operators' rows could make it the holder again.
   auto const limit = base::Now() + milliseconds{ 10'000 };
   while (cluster.mRecorder.Starts(FirstTask(id)) == 0 && base::Now() < limit) {
     cluster.mStore.Put(kOperatorTable, "unrelated", "changed");
     cluster.RunFor(milliseconds{ 5 });
   }
+  BOOST_TEST(front.mScheduler.Dump().at("term").get<std::uint64_t>() == formerTerm + 1);
   // Only the attempts that were on their way are refused.
   BOOST_TEST(front.mStoreEndpoint.mConflicts <= nextNumbers.size());
   BOOST_TEST(Reaches(cluster, front, id, "done", milliseconds{ 5000 }));
