Dispatch: Prove no absence of a run by incomplete run lists

Cause: lists with 500 ends, or with an entry that cannot be read, may lack a run. The bound for a start that can no longer take effect did not ask for that, unlike the release by the fence. Change: both ask for complete lists. Found by review, by reading; no test of its own. Result: the suites of dispatch and platform pass.

--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -121,7 +121,8 @@
   std::vector<std::string> mLabels{};
   /// Whether the run lists are valid; they were read from the worker after all results below.
   bool mHasRunLists = false;
-  /// Term under which the run lists were read; the worker refuses orders of earlier terms since.
+  /// Term under which the run lists were read; the worker refuses orders of earlier terms since. 0
+  /// if the lists may lack a run, so that they prove no absence.
   std::uint64_t mRunListsTerm = 0;
   std::vector<listed_run> mRunning{};
   std::vector<ended_run> mEnded{};
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -511,7 +511,7 @@
     // side reports such a start, but not after its process was replaced. A run that was listed
     // before is stopped first, as these lists may lack it by mistake.
     auto const orderedAt = isOfFormerTerm ? mHolderSince : aTask.mStartedAt;
-    if (aTask.mEndUnknownSince != base::time_point{} &&
+    if (aSession.mReport.mRunListsTerm != 0 && aTask.mEndUnknownSince != base::time_point{} &&
         now - std::max(orderedAt, aTask.mEndUnknownSince) > startBound) {
       aTask.mFailedOn = aTask.mState.mWorker;
       RequeueTask(aJob, aPosition, "not listed, and its start can no longer take effect");
