Dispatch: Send no start to a side that has been listed as silent meanwhile

Cause: a start that was planned before the side was listed left unanswered; if the side was gone the run waited for its lease in place of being planned elsewhere at once. A new run also inherited the time since which the end of the former one was unknown, so that run-end-overdue could speak of it. Found by review, by reading; no test of their own. Change: SendStart plans such a task again; Plan resets the time.

--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -253,7 +253,8 @@
   auto const found = mSessions.find(aStart.mNode);
   auto* const session = found == mSessions.end() ? nullptr : found->second.get();
   auto const name = TaskName(aStart.mJob, aStart.mPosition);
-  if (session == nullptr || !session->mLink || IsFinal(job->Phase()) ||
+  if (session == nullptr || !session->mLink || !mSilentSides.MayAnswer(aStart.mNode) ||
+      IsFinal(job->Phase()) ||
       session->mReport.mIncarnationStart != task->mState.mWorkerIncarnationStart ||
       session->mReport.mState != worker_state::ready) {
     RequeueTask(*job, aStart.mPosition, "the worker is no longer available");
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -373,6 +373,7 @@
     task.mRunStatus = run_status::planned;
     task.mRunStatusSince = now;
     task.mStartedAt = {};
+    task.mEndUnknownSince = {};
     task.mReportedCheckpoint.clear();
     task.mProgress = 0;
     task.mProgressInterval = milliseconds{ 0 };
