Dispatch: Log which configuration version decided a call

Cause: a refusal named the age of the configuration and no version, a forwarded answer neither, and a rejected version of the configuration showed in one log line only. Change: refused and forwarded calls name the version; fronts pass it in a header of forwarded answers; a gauge counts rejected versions. The fake store can hold back the operators' feed and let clients read an older copy.

--- a/source/daemons/front_process.cpp
+++ b/source/daemons/front_process.cpp
@@ -85,7 +85,7 @@
     net::http_server::Create(context, { .mEndpoint = links,
                                         .mHandler =
                                           [this](net::http_request aRequest) {
-                                            return mCallers->HandleLocally(std::move(aRequest));
+                                            return mCallers->HandleForwarded(std::move(aRequest));
                                           },
                                         .mMaximumBodyBytes = mSettings.mMaximumBodyBytes }));
   PublishAddress(dispatch::kFrontPrefix, links);
--- a/source/dispatch/call_forwarder.cpp
+++ b/source/dispatch/call_forwarder.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace rattanpond::dispatch {
 
@@ -27,6 +28,14 @@
 
 } // namespace
 
+std::uint64_t ConfigurationVersionOf(net::http_headers const& aHeaders)
+{
+  auto const text = aHeaders.Value(kConfigurationVersionHeader);
+  std::uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
 call_forwarder::call_forwarder(options aOptions)
   : mOptions{ std::move(aOptions) }
 {
@@ -69,8 +78,9 @@
     auto request = aRequest;
     auto answer = co_await client->Send(std::move(request), left);
     auto const status = base::Succeeded(answer) ? std::get<0>(answer).mStatus : 0U;
-    base::Log("caller")->info("forwarded method={} path={} to={} status={}", aRequest.mMethod,
-                              aRequest.mTarget, node, status);
+    auto const version = status == 0 ? 0 : ConfigurationVersionOf(std::get<0>(answer).mHeaders);
+    base::Log("caller")->info("forwarded method={} path={} to={} status={} configuration={}",
+                              aRequest.mMethod, aRequest.mTarget, node, status, version);
     if (status != 0 && status != 503 && status != 504) {
       mPreferred = node;
       auto response = std::move(std::get<0>(answer));
--- a/source/dispatch/call_forwarder.h
+++ b/source/dispatch/call_forwarder.h
@@ -10,6 +10,13 @@
 
 namespace rattanpond::dispatch {
 
+/// Header between fronts with the version of a configuration: in an answer, of the one that the
+/// answering front holds.
+inline constexpr char const* kConfigurationVersionHeader = "X-Rattanpond-Configuration";
+
+/// Returns the value of the header; 0 if it is absent or not a number.
+std::uint64_t ConfigurationVersionOf(net::http_headers const& aHeaders);
+
 /// Forwards calls to other fronts while the store is unavailable to this front but may be available
 /// to them.
 class call_forwarder
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -122,6 +122,12 @@
   return base::Now() - mOptions.mReplica.OperatorRowsConfirmedAt();
 }
 
+std::uint64_t caller_api::ConfigurationVersion() const
+{
+  auto const& configuration = mOptions.mReplica.Configuration();
+  return configuration ? configuration->mVersion : 0;
+}
+
 bool caller_api::IsReady() const
 {
   return !mIsShuttingDown && mOptions.mReplica.IsLoaded() &&
@@ -197,13 +203,21 @@
   co_return std::move(*ownResponse);
 }
 
+awaitable<http_response> caller_api::HandleForwarded(http_request aRequest)
+{
+  auto response = co_await HandleLocally(std::move(aRequest));
+  response.mHeaders.Add(kConfigurationVersionHeader, std::to_string(ConfigurationVersion()));
+  co_return response;
+}
+
 awaitable<http_response> caller_api::HandleLocally(http_request aRequest)
 {
   auto admitted = Admit(aRequest);
   if (auto* const refusal = std::get_if<http_response>(&admitted)) {
-    base::Log("caller")->info("refused method={} path={} status={} configuration_age_ms={}",
-                              aRequest.mMethod, aRequest.mTarget, refusal->mStatus,
-                              ConfigurationAge().count());
+    base::Log("caller")->info(
+      "refused method={} path={} status={} configuration={} configuration_age_ms={}",
+      aRequest.mMethod, aRequest.mTarget, refusal->mStatus, ConfigurationVersion(),
+      ConfigurationAge().count());
     mOptions.mMetrics.Counter("rattanpond_calls_refused").Add();
     co_return std::move(*refusal);
   }
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -31,7 +31,7 @@
   /// Handles a caller's request. Forwards it to other fronts if the store is unavailable here.
   boost::asio::awaitable<net::http_response> Handle(net::http_request aRequest);
   /// Handles a call that another front has forwarded; never forwards it again.
-  boost::asio::awaitable<net::http_response> HandleLocally(net::http_request aRequest);
+  boost::asio::awaitable<net::http_response> HandleForwarded(net::http_request aRequest);
 
   /// Whether the load balancer should send new connections to this front.
   bool IsReady() const;
@@ -49,6 +49,7 @@
     std::string mPathRemainder;
   };
 
+  boost::asio::awaitable<net::http_response> HandleLocally(net::http_request aRequest);
   std::variant<admitted_call, net::http_response> Admit(net::http_request const& aRequest) const;
   boost::asio::awaitable<net::http_response> Submit(net::http_request aRequest,
                                                     admitted_call aCall);
@@ -62,6 +63,8 @@
   net::http_response Pending(admitted_call const& aCall) const;
 
   base::milliseconds ConfigurationAge() const;
+  /// Version of the configuration that this front holds; 0 if it has none.
+  std::uint64_t ConfigurationVersion() const;
 
   base::milliseconds ConfirmationLimit(double aShare) const;
   /// An error response with a Retry-After header.
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -351,6 +351,7 @@
 {
   auto parsed = base::Capture([&] { return platform::ParseConfiguration(aRow.mValue); });
   if (!base::Succeeded(parsed)) {
+    ++mRejectedConfigurations;
     base::Log("replica")->error("configuration-unreadable version={} reason={}", aRow.mVersion,
                                 base::Error(parsed).mMessage);
     return;
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -105,6 +105,8 @@
     return mConfiguration;
   }
   std::uint64_t ConfigurationRowVersion() const { return mConfigurationRowVersion; }
+  /// Versions of the configuration that could not be read; the last readable one stays in force.
+  std::uint64_t RejectedConfigurations() const { return mRejectedConfigurations; }
   std::map<std::string, std::uint64_t> const& Evacuations() const { return mEvacuations; }
 
   /// Time at which the last successful read of the operators' table was sent.
@@ -175,6 +177,7 @@
   std::uint64_t mSilentSidesVersion = 0;
   std::shared_ptr<operator_configuration const> mConfiguration;
   std::uint64_t mConfigurationRowVersion = 0;
+  std::uint64_t mRejectedConfigurations = 0;
   std::map<std::string, std::uint64_t> mEvacuations;
 };
 
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -113,6 +113,8 @@
 
 void scheduler::ReplicaChanged()
 {
+  mOptions.mMetrics.Gauge("rattanpond_configurations_rejected")
+    .Set(static_cast<double>(mOptions.mReplica.RejectedConfigurations()));
   // A holder is the only writer of job states and takes none from the store, so it begins only with
   // everything that the former holder wrote before the term changed.
   auto const termVersion = mOptions.mReplica.TermVersion();
--- a/source/platform/deployment_settings.cpp
+++ b/source/platform/deployment_settings.cpp
@@ -41,6 +41,8 @@
   aSettings.mMaximumLease = Milliseconds(aBounds, "hold_max_ms", aSettings.mMaximumLease);
   aSettings.mStopTime = Milliseconds(aBounds, "stop_grace_ms", aSettings.mStopTime);
   aSettings.mRevocationLimit = Milliseconds(aBounds, "revoke_ms", aSettings.mRevocationLimit);
+  aSettings.mConfigurationDelay =
+    Milliseconds(aBounds, "config_apply_ms", aSettings.mConfigurationDelay);
   aSettings.mTerminationGracePeriod =
     Seconds(aBounds, "grace_s", aSettings.mTerminationGracePeriod);
   aSettings.mStatusRetention = Seconds(aBounds, "status_s", aSettings.mStatusRetention);
--- a/source/platform/deployment_settings.h
+++ b/source/platform/deployment_settings.h
@@ -30,6 +30,8 @@
 
   base::milliseconds mMaximumLease{ 10'000 };
   base::milliseconds mRevocationLimit{ 5'000 };
+  /// Longest time until a confirmed change of the configuration is in force at every front.
+  base::milliseconds mConfigurationDelay{ 2'000 };
   /// Longest time that a worker takes to stop a run.
   base::milliseconds mStopTime{ 500 };
   base::milliseconds mTerminationGracePeriod{ 6'000 };
--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -77,6 +77,12 @@
     bool mDelaysDispatchAnswers = false;
     /// Delayed answers that contain rows.
     std::size_t mDelayedAnswers = 0;
+    /// Answers to polls of the operators' table are on their way for as long as this is set.
+    bool mDelaysOperatorAnswers = false;
+    /// Reads of whole tables come from the copy of the rows that KeepCopy has taken.
+    bool mReadsCopy = false;
+    /// Reads of whole tables, each page by itself.
+    std::size_t mTableReads = 0;
     /// Delay of the behaviors late and slow.
     base::milliseconds mDelay{ 0 };
     /// Polls of the dispatch table.
@@ -135,6 +141,13 @@
     mOldest = mVersion;
   }
 
+  /// Takes the copy from which clients read that lag behind.
+  void KeepCopy()
+  {
+    mCopiedRows = mRows;
+    mCopiedVersion = mVersion;
+  }
+
   std::optional<std::string> Text(std::string const& aTable, std::string const& aKey) const
   {
     auto const found = mRows.find({ aTable, aKey });
@@ -232,7 +245,22 @@
     if (behavior == behavior::late || behavior == behavior::slow) {
       co_await Wait(aEndpoint.mDelay);
     }
+    auto const isTableRead = aRequest.mTarget.starts_with("/api/rows-get");
+    aEndpoint.mTableReads += isTableRead ? 1 : 0;
+    auto const isOperatorPoll = aRequest.mTarget.starts_with("/api/rows-feed") && !isDispatchPoll;
+    auto const readsCopy = isTableRead && aEndpoint.mReadsCopy;
+    if (readsCopy) {
+      std::swap(mRows, mCopiedRows);
+      std::swap(mVersion, mCopiedVersion);
+    }
     auto response = co_await mRouter.Handle(std::move(aRequest));
+    if (readsCopy) {
+      std::swap(mRows, mCopiedRows);
+      std::swap(mVersion, mCopiedVersion);
+    }
+    while (isOperatorPoll && aEndpoint.mDelaysOperatorAnswers) {
+      co_await Wait(kStep);
+    }
     aEndpoint.mConflicts += response.mStatus == 412 ? 1 : 0;
     if (isDispatchPoll && aEndpoint.mDelaysDispatchAnswers &&
         !base::json::parse(response.mBody)["rows"].empty()) {
@@ -368,6 +396,8 @@
   net::http_router mRouter = MakeRouter();
   std::vector<std::unique_ptr<client_endpoint>> mClientEndpoints;
   std::map<name, row> mRows;
+  std::map<name, row> mCopiedRows;
+  std::uint64_t mCopiedVersion = 0;
   std::vector<change> mHistory;
   std::uint64_t mVersion = 0;
   std::uint64_t mOldest = 0;
--- a/source/platform/tests/test_cluster.h
+++ b/source/platform/tests/test_cluster.h
@@ -98,7 +98,7 @@
       return net::http_server::Create(mContext,
                                       { .mEndpoint = { boost::asio::ip::address_v4::loopback(), 0 },
                                         .mHandler = [this](net::http_request aRequest) {
-                                          return mCallers.HandleLocally(std::move(aRequest));
+                                          return mCallers.HandleForwarded(std::move(aRequest));
                                         } });
     });
     BOOST_REQUIRE(base::Succeeded(created));
@@ -270,7 +270,7 @@
     boost::asio::co_spawn(
       aFront.mContext,
       aForwarding == forwarding::allowed ? callers.Handle(std::move(request))
-                                         : callers.HandleLocally(std::move(request)),
+                                         : callers.HandleForwarded(std::move(request)),
       [&](std::exception_ptr, net::http_response aResponse) { response = std::move(aResponse); });
     BOOST_REQUIRE(RunUntil([&] { return response.has_value(); }));
     mLastBody = response->mBody;
