Dispatch: Decide a call by no older configuration than its front has shown

What callers saw: a front went back from version 23 or newer to 15 or older; a removed route was served again. Cause: a front without the store forwards calls, and neither call nor answer said which configuration decided it. A front handed on an answer by an older configuration than its own, or one by a newer configuration, and then decided by its own. Evidence: two tests of configuration_test fail on (200 by version 1 after 404 by version 2). Change: a forwarded call names the oldest version that may decide it, the newest that its front holds or has handed on; its answer names the version of the front that gave it, and a front whose own version is older than that forwards or answers 503. Why it works: both ways by which an answer reaches a caller are now bounded by one number that only rises. Result: both tests pass. Header fields sent by callers under the same name are ignored.

--- a/source/dispatch/call_forwarder.cpp
+++ b/source/dispatch/call_forwarder.cpp
@@ -57,9 +57,11 @@
 }
 
 asio::awaitable<call_forwarder::result> call_forwarder::Forward(net::http_request aRequest,
-                                                                base::time_point aDeadline)
+                                                                base::time_point aDeadline,
+                                                                std::uint64_t aOldestVersion)
 {
   result forwarded;
+  aRequest.mHeaders.Set(kConfigurationVersionHeader, std::to_string(aOldestVersion));
   std::vector<std::pair<std::string, std::string>> others;
   for (auto const& [node, record] : mOptions.mReplica.Fronts()) {
     if (node != mOptions.mNode) {
@@ -83,6 +85,7 @@
                               aRequest.mMethod, aRequest.mTarget, node, status, version);
     if (status != 0 && status != 503 && status != 504) {
       mPreferred = node;
+      forwarded.mConfigurationVersion = version;
       auto response = std::move(std::get<0>(answer));
       // Framing headers belong to one connection; only status, content type and body are copied.
       forwarded.mAnswer = net::http_response{ .mStatus = response.mStatus };
--- a/source/dispatch/call_forwarder.h
+++ b/source/dispatch/call_forwarder.h
@@ -10,8 +10,8 @@
 
 namespace rattanpond::dispatch {
 
-/// Header between fronts with the version of a configuration: in an answer, of the one that the
-/// answering front holds.
+/// Header between fronts with the version of a configuration: in a request, the oldest one that may
+/// decide the call; in an answer, the one that the answering front holds.
 inline constexpr char const* kConfigurationVersionHeader = "X-Rattanpond-Configuration";
 
 /// Returns the value of the header; 0 if it is absent or not a number.
@@ -33,13 +33,17 @@
   {
     /// The first answer of another front that has neither status 503 nor 504.
     std::optional<net::http_response> mAnswer{};
+    /// The configuration of the front that has given mAnswer.
+    std::uint64_t mConfigurationVersion = 0;
     /// A forwarded call had no conclusive answer and may still take effect.
     bool mIsOutcomeUnknown = false;
   };
 
   explicit call_forwarder(options aOptions);
 
-  boost::asio::awaitable<result> Forward(net::http_request aRequest, base::time_point aDeadline);
+  /// Other fronts decide the call only by aOldestVersion of the configuration or a newer one.
+  boost::asio::awaitable<result> Forward(net::http_request aRequest, base::time_point aDeadline,
+                                         std::uint64_t aOldestVersion);
 
 private:
   net::http_client* Client(std::string const& aAddress);
--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -128,6 +128,12 @@
   return configuration ? configuration->mVersion : 0;
 }
 
+bool caller_api::IsConfigurationBehind(http_request const& aRequest) const
+{
+  return ConfigurationVersion() <
+         std::max(mForwardedVersion, ConfigurationVersionOf(aRequest.mHeaders));
+}
+
 bool caller_api::IsReady() const
 {
   return !mIsShuttingDown && mOptions.mReplica.IsLoaded() &&
@@ -148,7 +154,8 @@
   if (queue == nullptr) {
     queue = configuration->Route(host.substr(0, host.rfind(':')), path);
   }
-  auto const isStale = ConfigurationAge() > ConfirmationLimit(kAdmissionShare);
+  auto const isStale =
+    ConfigurationAge() > ConfirmationLimit(kAdmissionShare) || IsConfigurationBehind(aRequest);
   if (queue == nullptr) {
     return isStale ? Refusal(503, "the configuration may be outdated")
                    : Plain(404, "no queue matches this host and path");
@@ -176,8 +183,11 @@
 {
   auto const deadline = Deadline(aRequest, base::Now());
   auto const isRead = aRequest.mMethod == "GET";
+  // Only fronts set this header.
+  aRequest.mHeaders.Set(kConfigurationVersionHeader, "0");
   auto const mustForward = !mOptions.mReplica.IsStoreAvailable() ||
-                           ConfigurationAge() > ConfirmationLimit(kReadinessShare);
+                           ConfigurationAge() > ConfirmationLimit(kReadinessShare) ||
+                           IsConfigurationBehind(aRequest);
   std::optional<http_response> ownResponse;
   if (!mustForward) {
     auto copy = aRequest;
@@ -187,8 +197,10 @@
     }
   }
   auto copy = aRequest;
-  auto forwarded = co_await mForwarder.Forward(std::move(copy), deadline);
+  auto forwarded = co_await mForwarder.Forward(std::move(copy), deadline,
+                                               std::max(mForwardedVersion, ConfigurationVersion()));
   if (forwarded.mAnswer) {
+    mForwardedVersion = std::max(mForwardedVersion, forwarded.mConfigurationVersion);
     co_return std::move(*forwarded.mAnswer);
   }
   if (!ownResponse) {
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -51,6 +51,9 @@
 
   boost::asio::awaitable<net::http_response> HandleLocally(net::http_request aRequest);
   std::variant<admitted_call, net::http_response> Admit(net::http_request const& aRequest) const;
+  /// Whether callers of this front, or of the front that forwards the request, may have seen a
+  /// newer configuration than this front holds.
+  bool IsConfigurationBehind(net::http_request const& aRequest) const;
   boost::asio::awaitable<net::http_response> Submit(net::http_request aRequest,
                                                     admitted_call aCall);
   boost::asio::awaitable<net::http_response> Cancel(net::http_request aRequest,
@@ -72,6 +75,8 @@
 
   options mOptions;
   call_forwarder mForwarder;
+  /// The newest configuration by which another front has decided a call of this front's callers.
+  std::uint64_t mForwardedVersion = 0;
   bool mIsShuttingDown = false;
 };
 
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -19,6 +19,13 @@
     mFields.emplace_back(std::move(aName), std::move(aValue));
   }
 
+  /// Replaces all fields of this name by one.
+  void Set(std::string aName, std::string aValue)
+  {
+    std::erase_if(mFields, [&](auto const& aField) { return SameName(aField.first, aName); });
+    Add(std::move(aName), std::move(aValue));
+  }
+
   /// Returns the first value of a header field, or an empty string.
   std::string_view Value(std::string_view aName) const
   {
