Dispatch: Serve a public queue only by a confirmed configuration

What callers saw: a public queue that was removed while the store was away was served until the store came back. Cause: only keys bounded the age of the configuration; a public queue has none. Change: the bound of the admission holds for all queues; submissions go on, since their transaction names the configuration's row.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -162,15 +162,14 @@
   }
   auto const* const workspace =
     configuration->WorkspaceOfKey(std::string{ aRequest.mHeaders.Value(platform::kKeyHeader) });
-  if (!queue->mIsPublic) {
-    // A submission may go on with a stale configuration: its transaction commits only if the
-    // configuration is still the current one.
-    if (isStale && (aRequest.mMethod != "POST" || workspace == nullptr)) {
-      return Refusal(503, "the configuration may be outdated");
-    }
-    if (workspace == nullptr) {
-      return Plain(401, "the API key is unknown");
-    }
+  // A submission may go on with a stale configuration: its transaction commits only if the
+  // configuration is still the current one.
+  if (isStale && aRequest.mMethod != "POST") {
+    return Refusal(503, "the configuration may be outdated");
+  }
+  if (workspace == nullptr && !queue->mIsPublic) {
+    return isStale ? Refusal(503, "the configuration may be outdated")
+                   : Plain(401, "the API key is unknown");
   }
   return admitted_call{ .mConfiguration = configuration,
                         .mConfigurationRow = mOptions.mReplica.ConfigurationRowVersion(),
