Dispatch: Answer a repeated submission by the present configuration

What callers saw: 200 for a repeated submission with a key that had been revoked for longer than the revocation limit. Cause: submissions pass a stale configuration, since their transaction checks it; two shortcuts answered without that check: a job that the front knows, and a job that the transaction meets, with the new configuration beside it in the same answer. Change: a front with a stale configuration sends the transaction for a known job as well, and after a conflict checks queue and key again before it looks at the job. A conflict that shows the configuration confirms it. Without the store a known job gets 504, as 503 says that it never runs.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -119,7 +119,7 @@
 
 milliseconds caller_api::ConfigurationAge() const
 {
-  return base::Now() - mOptions.mReplica.OperatorRowsConfirmedAt();
+  return base::Now() - mOptions.mReplica.ConfigurationConfirmedAt();
 }
 
 std::uint64_t caller_api::ConfigurationVersion() const
@@ -173,6 +173,7 @@
   }
   return admitted_call{ .mConfiguration = configuration,
                         .mConfigurationRow = mOptions.mReplica.ConfigurationRowVersion(),
+                        .mIsStale = isStale,
                         .mQueue = queue,
                         .mWorkspace = workspace,
                         .mPathRemainder = std::string{ path.substr(queue->mPrefix.size()) } };
@@ -266,14 +267,18 @@
                               base::Error(parsed).mMessage);
     co_return Plain(400, base::Error(parsed).mMessage);
   }
-  if (mOptions.mReplica.FindJob(id) != nullptr) {
+  auto const isKnown = mOptions.mReplica.FindJob(id) != nullptr;
+  if (isKnown && !aCall.mIsStale) {
     co_return Plain(200, "known");
   }
   auto const started = base::Now();
   auto const deadline = Deadline(aRequest, started);
   if (!mOptions.mReplica.IsStoreAvailable()) {
-    // No transaction has been sent, so the job is certainly not accepted; waiting would only cost
+    // No transaction has been sent, so a new job is certainly not accepted; waiting would only cost
     // the caller time.
+    if (isKnown) {
+      co_return Refusal(504, "the job is known, but the configuration may be outdated");
+    }
     co_return Refusal(503, "the store is unavailable");
   }
   auto job = std::get<0>(std::move(parsed));
@@ -285,8 +290,25 @@
     job.mAcceptedWallMs = base::WallClockMilliseconds();
     auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow);
     auto const timeout = std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
+    auto const sentAt = base::Now();
     auto const result = co_await mOptions.mStore.Commit(std::move(transaction), timeout);
     auto const took = base::Now() - started;
+    if (result.mOutcome == commit_outcome::conflict) {
+      // The job is known or the configuration has changed: check queue and key against the present
+      // configuration, which the conflict shows.
+      mOptions.mReplica.ApplyConflict(result.mCurrent, sentAt);
+      auto readmitted = Admit(aRequest);
+      if (auto* const refusal = std::get_if<http_response>(&readmitted)) {
+        // 503 states that the job never runs.
+        auto const isUntrue = refusal->mStatus == 503 && mOptions.mReplica.FindJob(id) != nullptr;
+        auto answer = isOutcomeUnknown || isUntrue ? Refusal(504, "the outcome is unknown")
+                                                   : std::move(*refusal);
+        base::Log("caller")->info("submit job={} configuration={} status={} outcome=conflict", id,
+                                  ConfigurationVersion(), answer.mStatus);
+        co_return answer;
+      }
+      aCall = std::get<admitted_call>(std::move(readmitted));
+    }
     if (result.mOutcome == commit_outcome::committed ||
         Contains(result.mCurrent, kJobPrefix + id)) {
       base::Log("caller")->info(
@@ -297,18 +319,6 @@
         .Record(std::chrono::duration<double>(took).count());
       co_return Plain(200, "accepted");
     }
-    if (result.mOutcome == commit_outcome::conflict) {
-      // The configuration has changed: check queue and key against the new one.
-      mOptions.mReplica.Apply(result.mCurrent);
-      auto readmitted = Admit(aRequest);
-      if (auto* const refusal = std::get_if<http_response>(&readmitted)) {
-        if (isOutcomeUnknown) {
-          co_return Plain(504, "the outcome is unknown");
-        }
-        co_return std::move(*refusal);
-      }
-      aCall = std::get<admitted_call>(std::move(readmitted));
-    }
     isOutcomeUnknown = isOutcomeUnknown || result.mOutcome == commit_outcome::unknown;
     auto const isLastAttempt =
       base::Now() + kRetryDelay >= deadline || !mOptions.mReplica.IsStoreAvailable();
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -43,6 +43,8 @@
   {
     std::shared_ptr<operator_configuration const> mConfiguration;
     std::uint64_t mConfigurationRow = 0;
+    /// The configuration may have been replaced since it was confirmed.
+    bool mIsStale = false;
     queue const* mQueue = nullptr;
     workspace const* mWorkspace = nullptr;
     /// The part of the path after the queue's prefix.
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -183,6 +183,17 @@
   }
 }
 
+void replica::ApplyConflict(std::vector<store_row> const& aRows, base::time_point aSentAt)
+{
+  Apply(aRows);
+  for (auto const& row : aRows) {
+    if (row.mTable == platform::kOperatorTable && row.mKey == platform::kConfigurationKey &&
+        row.mVersion == mConfigurationRowVersion) {
+      mConfigurationMetAt = std::max(mConfigurationMetAt, aSentAt);
+    }
+  }
+}
+
 void replica::ApplyFullRead(followed_table const& aTable, platform::read_result const& aRead)
 {
   Apply(Deletions(aTable.mName, mVersions, aRead));
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -79,6 +79,9 @@
   void Reload() { mDispatchRows.mIsLoaded = false; }
   /// Applies rows that are newer than the known ones.
   void Apply(std::vector<platform::store_row> const& aRows);
+  /// Applies the rows that a transaction sent at aSentAt has met. If the configuration is among
+  /// them, it was the present one then.
+  void ApplyConflict(std::vector<platform::store_row> const& aRows, base::time_point aSentAt);
 
   std::map<std::string, std::unique_ptr<job_record>>& Jobs() { return mJobs; }
   job_record* FindJob(std::string const& aId);
@@ -111,6 +114,11 @@
 
   /// Time at which the last successful read of the operators' table was sent.
   base::time_point OperatorRowsConfirmedAt() const { return mOperatorRows.mConfirmedAt; }
+  /// Time at which the last call to the store was sent that has shown the present configuration.
+  base::time_point ConfigurationConfirmedAt() const
+  {
+    return std::max(mOperatorRows.mConfirmedAt, mConfigurationMetAt);
+  }
   base::time_point JobsConfirmedAt() const { return mDispatchRows.mConfirmedAt; }
   /// False from a failed read of the dispatch table to the next successful one.
   bool IsStoreAvailable() const { return mIsStoreAvailable; }
@@ -178,6 +186,8 @@
   std::shared_ptr<operator_configuration const> mConfiguration;
   std::uint64_t mConfigurationRowVersion = 0;
   std::uint64_t mRejectedConfigurations = 0;
+  /// Send time of the last transaction that met the configuration in a conflict.
+  base::time_point mConfigurationMetAt{};
   std::map<std::string, std::uint64_t> mEvacuations;
 };
 
