Dispatch: Deny a queue or a key only by a current configuration

What callers saw: 404 for a queue, and 401 for a key, that had been added 2 to 4 s before. Cause: one bound, 0.8 of the revocation limit, served both for keys that may have been revoked and for denials; a change has to be in force after 2 s (config_apply_ms). Change: 401 and 404 need a configuration confirmed within that time; otherwise the front answers 503 with Retry-After.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -154,11 +154,14 @@
   if (queue == nullptr) {
     queue = configuration->Route(host.substr(0, host.rfind(':')), path);
   }
-  auto const isStale =
-    ConfigurationAge() > ConfirmationLimit(kAdmissionShare) || IsConfigurationBehind(aRequest);
+  auto const age = ConfigurationAge();
+  auto const isBehind = IsConfigurationBehind(aRequest);
+  auto const isStale = isBehind || age > ConfirmationLimit(kAdmissionShare);
+  // A denial is final for the caller, and a queue or key may have been added since.
+  auto const mayDeny = !isBehind && age <= mOptions.mSettings.mConfigurationDelay;
   if (queue == nullptr) {
-    return isStale ? Refusal(503, "the configuration may be outdated")
-                   : Plain(404, "no queue matches this host and path");
+    return mayDeny ? Plain(404, "no queue matches this host and path")
+                   : Refusal(503, "the configuration may be outdated");
   }
   auto const* const workspace =
     configuration->WorkspaceOfKey(std::string{ aRequest.mHeaders.Value(platform::kKeyHeader) });
@@ -168,8 +171,8 @@
     return Refusal(503, "the configuration may be outdated");
   }
   if (workspace == nullptr && !queue->mIsPublic) {
-    return isStale ? Refusal(503, "the configuration may be outdated")
-                   : Plain(401, "the API key is unknown");
+    return mayDeny ? Plain(401, "the API key is unknown")
+                   : Refusal(503, "the configuration may be outdated");
   }
   return admitted_call{ .mConfiguration = configuration,
                         .mConfigurationRow = mOptions.mReplica.ConfigurationRowVersion(),
