Dispatch: Accept submissions beside a configuration that cannot be read

What callers saw: no submission was accepted after a version of the configuration that could not be read; each sent transactions without a pause until its deadline. Cause: the transaction's condition named the row of the last readable version, the store held a later one, and the conflict changed nothing. Change: the condition names the newest row that the front has seen. The last readable version stays in force, and the gauge tells.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -360,6 +360,9 @@
 
 void replica::ApplyConfiguration(store_row const& aRow)
 {
+  // Transactions name the newest row even if it is rejected; otherwise each would meet a conflict
+  // for as long as that row stands.
+  mConfigurationRowVersion = aRow.mIsDeleted ? 0 : aRow.mVersion;
   auto parsed = base::Capture([&] { return platform::ParseConfiguration(aRow.mValue); });
   if (!base::Succeeded(parsed)) {
     ++mRejectedConfigurations;
@@ -374,7 +377,6 @@
     return;
   }
   mConfiguration = std::make_shared<operator_configuration const>(next);
-  mConfigurationRowVersion = aRow.mVersion;
   base::Log("replica")->info("configuration version={} row={} queues={}", next.mVersion,
                              aRow.mVersion, next.mQueues.size());
 }
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -107,6 +107,7 @@
   {
     return mConfiguration;
   }
+  /// Version of the newest row of the configuration, whether it could be read or not.
   std::uint64_t ConfigurationRowVersion() const { return mConfigurationRowVersion; }
   /// Versions of the configuration that could not be read; the last readable one stays in force.
   std::uint64_t RejectedConfigurations() const { return mRejectedConfigurations; }
