Platform: Take a configuration whole or not at all

Cause: a document whose routes are missing or no list counted as one without queues, so that every queue was removed; keys that are no strings, and tenants, keys, advice, guarantees or limits of another type, were left out without a trace. Change: such a document is rejected as a whole, and the last readable version stays in force. Missing tenants, keys and limits are empty. Result: an_invalid_configuration_is_not_taken_in_part fails on the former decoder in the checks of routes, tenants, keys, guarantees and limits.

--- a/source/platform/operator_rows.cpp
+++ b/source/platform/operator_rows.cpp
@@ -8,10 +8,27 @@
 
 namespace {
 
-base::json const& ArrayOrEmpty(base::json const& aValue)
+/// Returns a list, which is empty if the member is absent. A member of another type makes the object
+/// invalid.
+base::json const& ListOrEmpty(json_reader& aReader, char const* aName)
 {
   static base::json const sEmpty = base::json::array();
-  return aValue.is_array() ? aValue : sEmpty;
+  auto const& value = aReader.Member(aName);
+  if (!value.is_array() && !value.is_null()) {
+    aReader.Reject(std::string{ aName } + " is not a list");
+  }
+  return value.is_array() ? value : sEmpty;
+}
+
+/// Returns an object, or null if the member is absent. A member of another type makes the object
+/// invalid.
+base::json const& ObjectOrNull(json_reader& aReader, char const* aName)
+{
+  auto const& value = aReader.Member(aName);
+  if (!value.is_object() && !value.is_null()) {
+    aReader.Reject(std::string{ aName } + " is not an object");
+  }
+  return value;
 }
 
 /// Keeps the first failure found in nested objects.
@@ -41,7 +58,7 @@
   queue.mStretch = reader.Number("stretch", 1.0);
   queue.mObjective = milliseconds{ reader.Integer("target_duration_ms") };
   queue.mIsPublic = reader.Flag("public");
-  auto const& advice = reader.Member("advice");
+  auto const& advice = ObjectOrNull(reader, "advice");
   if (advice.is_object()) {
     json_reader terms{ advice };
     queue.mAdvice =
@@ -58,12 +75,14 @@
 {
   json_reader reader{ aObject };
   dispatch::workspace workspace{ .mName = reader.RequiredText("name") };
-  for (auto const& key : ArrayOrEmpty(reader.Member("keys"))) {
+  for (auto const& key : ListOrEmpty(reader, "keys")) {
     if (key.is_string()) {
       workspace.mKeys.insert(key.get<std::string>());
+    } else {
+      reader.Reject("keys contains a value that is not a string");
     }
   }
-  auto const& guaranteed = reader.Member("guaranteed");
+  auto const& guaranteed = ObjectOrNull(reader, "guaranteed");
   if (guaranteed.is_object()) {
     json_reader resources{ guaranteed };
     workspace.mGuaranteedAccelerators = resources.Integer("gpu");
@@ -82,13 +101,16 @@
   dispatch::operator_configuration configuration;
   configuration.mVersion = static_cast<std::uint64_t>(reader.RequiredInteger("version"));
   nested_failure failure;
-  for (auto const& entry : ArrayOrEmpty(reader.Member("routes"))) {
+  if (reader.Member("routes").is_null()) {
+    reader.Reject("routes is missing");
+  }
+  for (auto const& entry : ListOrEmpty(reader, "routes")) {
     configuration.mQueues.push_back(DecodeQueue(entry, failure));
   }
-  for (auto const& entry : ArrayOrEmpty(reader.Member("tenants"))) {
+  for (auto const& entry : ListOrEmpty(reader, "tenants")) {
     configuration.mWorkspaces.push_back(DecodeWorkspace(entry, failure));
   }
-  auto const& limits = reader.Member("limits");
+  auto const& limits = ObjectOrNull(reader, "limits");
   if (limits.is_object()) {
     json_reader sizes{ limits };
     configuration.mMaximumBodyBytes = static_cast<std::size_t>(
--- a/source/platform/tests/wire_test.cpp
+++ b/source/platform/tests/wire_test.cpp
@@ -155,6 +155,37 @@
   BOOST_TEST(!parse(Replaced(kConfiguration, "\"/a/\"", "4")).has_value());
 }
 
+// Guards against an invalid configuration that is taken in part: one without queues took all of them
+// away, and keys that were no strings were left out without a trace.
+BOOST_AUTO_TEST_CASE(an_invalid_configuration_is_not_taken_in_part)
+{
+  auto const isTaken = [](char const* aName, base::json aValue) {
+    auto document = base::json::parse(kConfiguration);
+    if (aValue.is_null()) {
+      document.erase(aName);
+    } else {
+      document[aName] = std::move(aValue);
+    }
+    return Parsed<dispatch::operator_configuration>(
+             [&] { return ParseConfiguration(document.dump()); })
+      .has_value();
+  };
+  auto const document = base::json::parse(kConfiguration);
+  BOOST_TEST(isTaken("routes", document["routes"]));
+  BOOST_TEST(isTaken("routes", base::json::array()));
+  BOOST_TEST(!isTaken("routes", nullptr));
+  BOOST_TEST(!isTaken("routes", 7));
+  BOOST_TEST(!isTaken("routes", base::json::object()));
+  BOOST_TEST(!isTaken("routes", { 7 }));
+  BOOST_TEST(!isTaken("tenants", "all"));
+  BOOST_TEST(!isTaken("tenants", { { { "name", "t" }, { "keys", "k" } } }));
+  BOOST_TEST(!isTaken("tenants", { { { "name", "t" }, { "keys", { "k", 7 } } } }));
+  BOOST_TEST(!isTaken("tenants", { { { "name", "t" }, { "guaranteed", 4 } } }));
+  BOOST_TEST(!isTaken("limits", 4));
+  // A member that rattanpond does not know may be anything.
+  BOOST_TEST(isTaken("later", 7));
+}
+
 BOOST_AUTO_TEST_CASE(settings_without_a_store_are_refused)
 {
   auto const parse = [](std::string const& aBody) {
