Dispatch: Confirm nothing by a read that lags behind

Cause: a full read with an older version than the known one was not applied, but counted as a confirmation of the configuration, and was repeated without a pause (some 200 reads in 0.5 s); so was a full read after which the feed had no history. Change: such a read confirms nothing, is logged and repeated after the usual delay.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -124,11 +124,13 @@
 
 awaitable<void> replica::Follow(followed_table& aTable)
 {
+  bool wasFullRead = false;
   // Reads of the dispatch table decide whether the store counts as available, as this table
   // contains the term heartbeat.
   auto const isDispatchTable = &aTable == &mDispatchRows;
   while (true) {
-    auto const isFullRead = !aTable.mIsLoaded;
+    auto const isAfterFullRead = std::exchange(wasFullRead, !aTable.mIsLoaded);
+    auto const isFullRead = wasFullRead;
     if (isDispatchTable && !isFullRead && !mOptions.mIsWriter()) {
       if (auto const wait = aTable.mReadAt + kFollowerReadInterval - base::Now();
           wait > base::milliseconds{ 0 }) {
@@ -146,6 +148,10 @@
     if (read.mOutcome == read_outcome::history_lost) {
       base::Log("replica")->info("history-lost table={} version={}", aTable.mName, aTable.mVersion);
       aTable.mIsLoaded = false;
+      if (isAfterFullRead) {
+        // The full read came from a copy that lags behind the history.
+        co_await net::Sleep(RetryDelay());
+      }
       continue;
     }
     if (read.mOutcome != read_outcome::answered) {
@@ -158,14 +164,21 @@
     if (isDispatchTable) {
       HandleStoreAnswer(read.mVersion);
     }
+    if (read.mVersion < aTable.mVersion) {
+      // A copy that lags behind shows nothing of the present rows.
+      base::Log("replica")->warn("read-outdated table={} version={} known={}", aTable.mName,
+                                 read.mVersion, aTable.mVersion);
+      co_await net::Sleep(RetryDelay());
+      continue;
+    }
     aTable.mConfirmedAt = sentAt;
-    if (!isFullRead) {
-      Apply(read.mRows);
-    } else if (read.mVersion >= aTable.mVersion) {
+    if (isFullRead) {
       ApplyFullRead(aTable, read);
       aTable.mIsLoaded = true;
+    } else {
+      Apply(read.mRows);
     }
-    aTable.mVersion = std::max(aTable.mVersion, read.mVersion);
+    aTable.mVersion = read.mVersion;
     if (!read.mRows.empty() || isFullRead) {
       mOptions.mOnChange();
     }
