--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -30,6 +30,9 @@
     /// Orders get no answer and are carried out after this delay.
     base::milliseconds mOrderDelay{ 0 };
     bool mFailsAll = false;
+    /// Runs of this job crash the worker once they have run for mCrashDelay.
+    std::string mDeadlyJob{};
+    base::milliseconds mCrashDelay{ 20 };
     /// Starts of this task are carried out at once and answered after mAnswerDelay.
     std::string mSlowTask{};
     base::milliseconds mAnswerDelay{ 0 };
@@ -59,6 +62,8 @@
   /// Tasks of this job serve users; mResponseTimeTail is their tail response time in milliseconds.
   std::string mServingJob{};
   std::int64_t mResponseTimeTail = 0;
+  /// Crashes that deadly runs have caused.
+  std::size_t mCrashes = 0;
   /// Last pace ordered for each task.
   std::map<std::string, std::uint32_t> mPaces{};
 
@@ -276,8 +281,22 @@
     return aRun.mIsStopping ? "stopped" : own;
   }
 
+  /// Whether a run is about to crash the worker.
+  bool HasDeadlyRun() const
+  {
+    return !mFaults.mDeadlyJob.empty() && std::ranges::any_of(mRuns, [&](auto const& aEntry) {
+      return aEntry.first.starts_with(mFaults.mDeadlyJob) &&
+             base::Now() - aEntry.second.mBeganAt >= mFaults.mCrashDelay;
+    });
+  }
+
   void Advance()
   {
+    if (HasDeadlyRun()) {
+      ++mCrashes;
+      Crash();
+      return;
+    }
     NoteLapse();
     std::vector<std::string> tasks;
     for (auto const& [task, run] : mRuns) {
