Dispatch: Give up a task that crashes the workers that start it

Cause: a run that went down with its worker counted as nothing. The task was started again beside other runs, and the crash counted against the worker. Change: a run is on probation for 3 s. A worker that crashes meanwhile counts for the task, in the job's state row, so that the count outlives every scheduler. A task with such a count starts alone, on a worker without other runs that receives none meanwhile, and of its step only one at a time. Three crashes, two of them alone, or five in any case, fail the job; a run that outlives its probation ends the suspicion. A takeover puts runs on probation that were stored shortly before, and after a full read those that are not first runs and have no checkpoint. Departures that were announced and leases that lapse beside a silent side count for nothing. Why it works: starting alone separates the task from what ran beside it, so the innocent ones are cleared by their next run, and at most five starts precede the verdict. A state without crashes keeps its former form, which earlier builds read. Result: deadly_task_test, crash_count_test and the other tests of the dispatch folder pass.

--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/codec.h"
+#include "dispatch/crash_count.h"
 
 #include <cstdint>
 #include <optional>
@@ -152,6 +153,7 @@
   std::int64_t mWorkerIncarnationStart = 0;
   std::uint32_t mFailures = 0;
   std::string mCheckpoint{};
+  crash_count mCrashes{};
 
   bool operator==(task_state const&) const = default;
 };
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -44,6 +44,55 @@
   }
 };
 
+/// The crashes that a task is suspected of.
+struct stored_crashes
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  std::uint32_t mCrashes = 0;
+  std::uint32_t mAlone = 0;
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("occurrence", &stored_crashes::mOccurrence),
+                           base::Field("step", &stored_crashes::mStep),
+                           base::Field("index", &stored_crashes::mIndex),
+                           base::Field("crashes", &stored_crashes::mCrashes),
+                           base::Field("alone", &stored_crashes::mAlone));
+  }
+};
+
+/// Form of the state of a job with suspected tasks. All others have the form above, which earlier
+/// versions of the program read as well.
+struct stored_state_with_crashes
+{
+  stored_state mState;
+  std::vector<stored_crashes> mCrashes{};
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("state", &stored_state_with_crashes::mState),
+                           base::Field("crashes", &stored_state_with_crashes::mCrashes));
+  }
+};
+
+/// Decodes either form; the first field of the plain one is a number.
+std::optional<stored_state_with_crashes> DecodeState(std::string const& aText)
+{
+  auto const document = base::json::parse(aText, nullptr, false);
+  if (document.is_array() && !document.empty() && document.front().is_array()) {
+    auto const decoded =
+      base::TryDecode<stored_state_with_crashes>(document, base::layout::positional);
+    auto const* const stored = std::get_if<stored_state_with_crashes>(&decoded);
+    return stored == nullptr ? std::nullopt : std::optional{ *stored };
+  }
+  auto const decoded = base::TryDecode<stored_state>(document, base::layout::positional);
+  auto const* const stored = std::get_if<stored_state>(&decoded);
+  return stored == nullptr ? std::nullopt
+                           : std::optional{ stored_state_with_crashes{ .mState = *stored } };
+}
+
 } // namespace
 
 job_record::job_record(std::string aId, job_description aDescription)
@@ -158,6 +207,7 @@
 std::string job_record::EncodeState() const
 {
   stored_state stored{ .mPhase = mPhase };
+  std::vector<stored_crashes> crashes;
   const_cast<job_record*>(this)->ForEachTask(
     [&](task_position const& aPosition, tracked_task const& aTask) {
       auto const& state = aTask.mState;
@@ -173,8 +223,21 @@
                                 .mWorkerIncarnationStart = state.mWorkerIncarnationStart,
                                 .mFailures = state.mFailures,
                                 .mCheckpoint = state.mCheckpoint });
+      if (state.mCrashes != crash_count{}) {
+        crashes.push_back({ .mOccurrence = aPosition.mOccurrence,
+                            .mStep = aPosition.mStep,
+                            .mIndex = aPosition.mIndex,
+                            .mCrashes = state.mCrashes.mCrashes,
+                            .mAlone = state.mCrashes.mAlone });
+      }
     });
-  return base::Encode(stored, base::layout::positional).dump();
+  if (crashes.empty()) {
+    return base::Encode(stored, base::layout::positional).dump();
+  }
+  return base::Encode(
+           stored_state_with_crashes{ .mState = std::move(stored), .mCrashes = std::move(crashes) },
+           base::layout::positional)
+    .dump();
 }
 
 void job_record::ResetState()
@@ -185,14 +248,13 @@
   MarkStateStored(0, mPhase);
 }
 
-bool job_record::ApplyState(std::string const& aText)
+bool job_record::ApplyState(std::string const& aText, base::time_point aStoredAt)
 {
-  auto const document = base::json::parse(aText, nullptr, false);
-  auto const decoded = base::TryDecode<stored_state>(document, base::layout::positional);
-  auto const* const stored = std::get_if<stored_state>(&decoded);
-  if (stored == nullptr) {
+  auto const decoded = DecodeState(aText);
+  if (!decoded) {
     return false;
   }
+  auto const* const stored = &decoded->mState;
   mPhase = stored->mPhase;
   mIsTerminated = false;
   std::vector<std::pair<tracked_task*, task_state>> decodedTasks;
@@ -209,11 +271,21 @@
                                           .mFailures = entry.mFailures,
                                           .mCheckpoint = entry.mCheckpoint });
   }
+  for (auto const& [task, state] : decodedTasks) {
+    if (state.mRun != task->mState.mRun) {
+      task->mRunSeenAt = aStoredAt;
+    }
+  }
   ForEachTask([](task_position const&, tracked_task& aTask) { aTask.mState = {}; });
   mStoredPhase = mPhase;
   for (auto& [task, state] : decodedTasks) {
     task->mState = std::move(state);
   }
+  for (auto const& entry : decoded->mCrashes) {
+    if (auto* const task = Find({ entry.mOccurrence, entry.mStep, entry.mIndex })) {
+      task->mState.mCrashes = { .mCrashes = entry.mCrashes, .mAlone = entry.mAlone };
+    }
+  }
   return true;
 }
 
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -43,6 +43,11 @@
   /// Whether the end of the run gives the run time of the whole task: this process started it, and
   /// not from a checkpoint.
   bool mIsRunTimeMeasured = false;
+  /// Whether the run has started too recently to show that it does not crash its worker.
+  bool mIsOnProbation = false;
+  /// Time at which a process that only follows the store learned of the run; not set if it was
+  /// stored before.
+  base::time_point mRunSeenAt{};
   /// Number of runs that were stopped because they had stalled.
   std::uint32_t mStallCount = 0;
   /// Worker of the last failed run; the next run is placed on another one if possible.
@@ -82,6 +87,10 @@
   /// True if any task has had a run.
   bool HasStarted() const;
 
+  /// Whether a run of the job is known to have outlived its probation.
+  bool HasProvenRun() const { return mHasProvenRun; }
+  void SetProvenRun() { mHasProvenRun = true; }
+
   /// True if the job has ended and none of its runs can still be running.
   bool IsTerminated() const { return mIsTerminated; }
   void SetTerminated() { mIsTerminated = true; }
@@ -89,8 +98,9 @@
   /// Encodes the phase and the state of all tasks that differ from the initial one.
   std::string EncodeState() const;
   /// Replaces the state by a stored one; tasks that it does not contain become waiting. Returns
-  /// false and changes nothing if the text cannot be decoded.
-  bool ApplyState(std::string const& aText);
+  /// false and changes nothing if the text cannot be decoded. aStoredAt: the time of the change, if
+  /// it is known.
+  bool ApplyState(std::string const& aText, base::time_point aStoredAt = {});
 
   /// Sets all tasks to waiting, as in a job without a stored state.
   void ResetState();
@@ -120,6 +130,7 @@
   job_phase mStoredPhase = job_phase::queued;
   std::uint64_t mStateVersion = 0;
   bool mIsTerminated = false;
+  bool mHasProvenRun = false;
   /// Indexed by occurrence, step and task.
   std::vector<std::vector<std::vector<tracked_task>>> mTasks;
 };
--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -203,6 +203,17 @@
     return load.Share() < kMostlyFreeShare;
   }
 
+  /// Workers without runs are rare on a full service, so the wait for them is limited. A job
+  /// without a running task waits for less while most of the service is free.
+  bool MustRunAlone(waiting_group const& aGroup) const
+  {
+    if (!aGroup.mMustRunAlone) {
+      return false;
+    }
+    auto const isOwed = aGroup.mShape->mIsLongRunning || IsMostlyFree(aGroup.mService);
+    return mNow - aGroup.mWaitingSince < (isOwed ? kLongestPreference : kLongestIsolation);
+  }
+
   bool IsNearData(waiting_group const& aGroup, std::size_t aWorker) const
   {
     return aGroup.mShape->mDataRack.empty() || mWorkers[aWorker].mRack == aGroup.mShape->mDataRack;
@@ -300,7 +311,8 @@
       // One failing member fails the whole gang, so a single member there proves nothing.
       auto const isOnTrial = mWorkers[index].mIsSuspect && aPreferences.mReliable &&
                              !shape.mIsGang && CountAt(aPlaced, index) > 0;
-      if (isOnTrial || !aFree[index].Covers(ReservedDemand(shape)) ||
+      auto const isOccupied = mWorkers[index].mHasRuns && MustRunAlone(aGroup);
+      if (isOnTrial || isOccupied || !aFree[index].Covers(ReservedDemand(shape)) ||
           RunningCount(aGroup, index) + CountAt(aPlaced, index) >= limit) {
         continue;
       }
@@ -357,6 +369,9 @@
     mFreeAfterStops[aWorker] -= ReservedDemand(*aGroup.mShape);
     mWorkers[aWorker].mFree -= ReservedDemand(*aGroup.mShape);
     mWorkers[aWorker].mHasRuns = true;
+    if (aGroup.mMustRunAlone) {
+      mWorkers[aWorker].mBarrier = start_obstacle::probation;
+    }
     mWorkers[aWorker].mHasServing =
       mWorkers[aWorker].mHasServing || aGroup.mShape->mServingTarget.count() > 0;
     mWorkers[aWorker].mHasBestEffort =
@@ -614,7 +629,8 @@
 
   static bool MayPreempt(waiting_group const& aGroup)
   {
-    return aGroup.mIsGuaranteed || aGroup.mPreemptionBudget > 0;
+    // Nothing is stopped for a task that may crash the worker.
+    return !aGroup.mMustRunAlone && (aGroup.mIsGuaranteed || aGroup.mPreemptionBudget > 0);
   }
 
   /// A guaranteed group reclaims from all runs that are not guaranteed; other groups preempt only
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -61,6 +61,8 @@
   std::vector<std::string> mFailedOn{};
   /// Whether one more failure ends the job.
   bool mIsLastAttempt = false;
+  /// Whether the group starts on workers without other runs, as it may crash them.
+  bool mMustRunAlone = false;
   /// Workers with a permit for the step; nullopt if the queue uses no advice.
   std::optional<std::vector<std::string>> mAllowed{};
   /// Time since which the turn of a task of the group has come while it has no run.
@@ -76,6 +78,9 @@
 /// takes a planning interval (0.2 s), a transaction (0.8 s) and an order (0.4 s).
 inline constexpr base::milliseconds kLongestPreference{ 1500 };
 
+/// Longest time for which a group waits for workers without other runs. Its tasks may be innocent.
+inline constexpr base::milliseconds kLongestIsolation{ 8000 };
+
 /// Runs that are stopped together: those of a gang, or a single one.
 struct preemptible_run
 {
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -176,7 +176,9 @@
       ApplyFullRead(aTable, read);
       aTable.mIsLoaded = true;
     } else {
+      mIsFollowing = true;
       Apply(read.mRows);
+      mIsFollowing = false;
     }
     aTable.mVersion = read.mVersion;
     if (!read.mRows.empty() || isFullRead) {
@@ -310,7 +312,7 @@
   if (aRow.mIsDeleted) {
     return;
   }
-  if (!job->ApplyState(aRow.mValue)) {
+  if (!job->ApplyState(aRow.mValue, mIsFollowing ? base::Now() : base::time_point{})) {
     base::Log("replica")->warn("state-unreadable job={} version={}", aId, aRow.mVersion);
     return;
   }
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -166,6 +166,8 @@
 
   options mOptions;
   bool mIsStoreAvailable = true;
+  /// Whether rows are applied right after they were stored.
+  bool mIsFollowing = false;
   followed_table mDispatchRows;
   followed_table mOperatorRows;
   /// Version of each known row by table and key; older versions are ignored.
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -164,6 +164,7 @@
       aTask.mWaitingSince = {};
       aTask.mEndUnknownSince = {};
       aTask.mIsRunTimeMeasured = false;
+      aTask.mIsOnProbation = MayHaveHardlyBegun(aTask);
     });
     if (IsFinal(job->Phase())) {
       mEndedJobs[id] = mHolderSince;
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -150,6 +150,18 @@
 
   void RecordRunEnd(job_record& aJob, task_position const& aPosition, ended_run const& aEnd);
   void RecordFailure(job_record& aJob, task_position const& aPosition);
+  /// Shows the job as failed and stops its runs.
+  void FailJob(job_record& aJob);
+  /// The worker has crashed: counts it for the tasks whose runs had hardly begun there, and fails
+  /// the jobs of those that cause such crashes. aIsOnWorker selects the runs of the lost
+  /// incarnation. Returns whether a task is known to be suspect that ran there alone.
+  bool RecordCrash(std::string const& aNode,
+                   std::function<bool(tracked_task const&)> const& aIsOnWorker);
+  /// Whether a run of a former holder may have started too recently to show that it does not crash
+  /// its worker.
+  bool MayHaveHardlyBegun(tracked_task const& aTask) const;
+  /// Ends the probation of a listed run that has run for long enough.
+  void EndProbation(job_record& aJob, tracked_task& aTask, base::time_point aNow);
   void RequeueTask(job_record& aJob, task_position const& aPosition, std::string const& aReason);
   void OrderStop(job_record& aJob, task_position const& aPosition, std::string const& aReason);
   /// Stops a run that may or may not have started, and the other members of its gang.
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -274,6 +274,7 @@
   task->mRunStatusSince = now;
   task->mStartedAt = now;
   task->mIsRunTimeMeasured = task->mState.mCheckpoint.empty();
+  task->mIsOnProbation = true;
   session->mStarts.push_back({ .mTask = name,
                                .mRun = aStart.mRun,
                                .mCommand = job->Description().mCommand,
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -83,6 +83,32 @@
   return false;
 }
 
+/// Returns the task of a step that is tried alone before the others start, since it may crash its
+/// worker: one that is on probation, or the one with the most crashes. Load pattern: each of the
+/// many tasks of a job crashes its worker, with all runs beside it.
+std::optional<std::uint32_t> TrialTask(job_record const& aJob, std::uint32_t aOccurrence,
+                                       std::uint32_t aStep)
+{
+  std::optional<std::uint32_t> trial;
+  // A lasting task is owed by itself.
+  if (aJob.Description().mSteps[aStep].mIsLongRunning) {
+    return trial;
+  }
+  auto const& tasks = aJob.Tasks(aOccurrence, aStep);
+  auto const rank = [&](std::uint32_t aIndex) {
+    auto const& task = tasks[aIndex];
+    return std::pair{ task.mState.mStatus == task_status::active, task.mState.mCrashes.mCrashes };
+  };
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    auto const& state = tasks[index].mState;
+    if (state.mStatus != task_status::done && state.mCrashes.MustRunAlone(aJob.HasProvenRun()) &&
+        (!trial || rank(*trial) < rank(index))) {
+      trial = index;
+    }
+  }
+  return trial;
+}
+
 /// What keeps all starts from a worker, apart from its health. aIsAnswered: whether its side is
 /// linked and its reports may be answered.
 start_obstacle Barrier(bool aIsAnswered, side_report const& aReport, bool aIsEvacuated,
@@ -153,6 +179,10 @@
     auto& snapshot = snapshots[found->second];
     snapshot.mFree -= ReservedDemand(aJob.Step(aPosition));
     snapshot.mHasRuns = true;
+    if (aTask.mIsOnProbation && aTask.mState.mCrashes.MustRunAlone(aJob.HasProvenRun()) &&
+        snapshot.AcceptsStarts()) {
+      snapshot.mBarrier = start_obstacle::probation;
+    }
     snapshot.mHasServing = snapshot.mHasServing || aJob.Step(aPosition).mServingTarget.count() > 0;
     snapshot.mHasBestEffort = snapshot.mHasBestEffort || aJob.Step(aPosition).mIsBestEffort;
   });
@@ -216,6 +246,7 @@
       if (!aJob.IsStepReady(occurrence, step)) {
         continue;
       }
+      auto const trial = TrialTask(aJob, occurrence, step);
       auto const& shape = description.mSteps[step];
       waiting_group group{ .mJob = aJob.Id(),
                            .mOccurrence = occurrence,
@@ -236,7 +267,10 @@
       auto& tasks = aJob.Tasks(occurrence, step);
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
-        if (task.mState.mStatus == task_status::waiting) {
+        auto const isHeldBack = trial && *trial != index && !shape.mIsGang;
+        if (task.mState.mStatus == task_status::waiting && !isHeldBack) {
+          group.mMustRunAlone =
+            group.mMustRunAlone || task.mState.mCrashes.MustRunAlone(aJob.HasProvenRun());
           if (task.mWaitingSince == base::time_point{}) {
             task.mWaitingSince = aNow;
           }
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -143,10 +143,15 @@
 {
   aSession.mEnds = {};
   // A worker that announced its departure is not lost.
-  if (aSession.mHasReport && aSession.mReport.mIncarnationStart != 0 &&
-      aSession.mReport.mState != worker_state::draining &&
-      aSession.mReport.mState != worker_state::gone) {
-    aSession.mHealth.Lost(base::Now());
+  auto const isAnnounced = aSession.mReport.mState == worker_state::draining ||
+                           aSession.mReport.mState == worker_state::gone;
+  if (!isAnnounced) {
+    auto const hasCulprit = RecordCrash(aSession.mNode, [&](tracked_task const& aTask) {
+      return aTask.mState.mWorkerIncarnationStart < aIncarnationStart;
+    });
+    if (aSession.mHasReport && aSession.mReport.mIncarnationStart != 0 && !hasCulprit) {
+      aSession.mHealth.Lost(base::Now());
+    }
   }
   aSession.mHealth.Replaced();
   aSession.mStopLimiter = {};
@@ -280,7 +285,13 @@
   base::Log("scheduler")
     ->info("job-failed job={} task={} failures={}", aJob.Id(), TaskName(aJob.Id(), aPosition),
            task.mState.mFailures);
+  FailJob(aJob);
+}
+
+void scheduler::FailJob(job_record& aJob)
+{
   aJob.SetPhase(job_phase::failed);
+  mDirty.Insert(aJob.Id());
   RecordJobEnd(aJob.Id());
   aJob.ForEachTask([&](task_position const& aOther, tracked_task& aTask) {
     if (aTask.mState.mStatus == task_status::active) {
@@ -379,6 +390,9 @@
     if (!run.mCheckpoint.empty()) {
       task->mReportedCheckpoint = run.mCheckpoint;
     }
+    if (aSession.mReport.mHasRunLists) {
+      EndProbation(*activeRun.mJob, *task, now);
+    }
     if (IsFinal(activeRun.mJob->Phase())) {
       OrderStop(*activeRun.mJob, activeRun.mPosition, "the job has ended");
     }
@@ -610,6 +624,7 @@
 
 void scheduler::ExpireLeases(base::time_point aNow)
 {
+  std::set<std::string> crashed;
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     // No order has left for a planned run; the commit of its transaction, or a conflict, ends the
     // wait.
@@ -621,6 +636,14 @@
     auto const isStartUnderWay = aTask.mStartedAt != base::time_point{} &&
                                  aNow <= aTask.mStartedAt + kMaximumOrderAge + kLeaseExpiryMargin;
     if (aNow > end.mAt && !isStartUnderWay) {
+      // A side that reports its worker as absent shows that the worker itself is lost, and not the
+      // path to it.
+      auto const& node = aTask.mState.mWorker;
+      auto const found = mSessions.find(node);
+      if (found != mSessions.end() && found->second->mLink && found->second->mHasReport &&
+          found->second->mReport.mState == worker_state::absent && crashed.insert(node).second) {
+        RecordCrash(node, [](tracked_task const&) { return true; });
+      }
       RequeueTask(aJob, aPosition, std::string{ base::Name(end.mReason) });
     }
   });
--- a/source/dispatch/start_obstacle.h
+++ b/source/dispatch/start_obstacle.h
@@ -18,6 +18,8 @@
   /// Nothing is started there for a moment, after a refused start.
   paused,
   quarantined,
+  /// A task that may crash the worker is tried there alone.
+  probation,
   permit,
   /// The step's limit of tasks per worker.
   worker_limit,
@@ -48,6 +50,7 @@
     { obstacle::evacuated, "evacuated" },
     { obstacle::paused, "paused" },
     { obstacle::quarantined, "quarantined" },
+    { obstacle::probation, "probation" },
     { obstacle::permit, "permit" },
     { obstacle::worker_limit, "worker-limit" },
     { obstacle::no_free_resources, "no-free-resources" },
