Dispatch: Start nothing by a capacity that has shrunk since

Cause: the capacity was looked at when a start was planned. Its transaction may take seconds while the store is slow, and the order its time on the way; neither the holder nor the side looked again. Evidence: two tests of shrinking_worker_test fail on the former decisions: 8 runs of one accelerator each on a worker that had shrunk to 2. Change: the holder drops a planned start if its worker's capacity no longer covers the one of the decision. The side carries out no start that answers a report from before the worker shrank; it looks right before each attempt, and logs worker-shrunk. Why it works: the side learns of the capacity first, so an order that it accepts was decided by that capacity or a smaller one. Runs above the new room go on; free resources are negative until they end, so nothing starts. Result: both tests pass, and the room is used again when it grows.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -86,6 +86,8 @@
     task_position mPosition;
     std::uint32_t mRun = 0;
     std::string mNode;
+    /// Capacity of the worker in the decision.
+    resources mCapacity{};
   };
 
   /// A task of a job in the replica; empty if there is none.
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -260,6 +260,10 @@
     RequeueTask(*job, aStart.mPosition, "the worker is no longer available");
     return;
   }
+  if (!session->mReport.mCapacity.Covers(aStart.mCapacity)) {
+    RequeueTask(*job, aStart.mPosition, "the worker has shrunk since the decision");
+    return;
+  }
   auto const now = base::Now();
   auto const* const queue = QueueOf(*job);
   std::optional<std::string> ticket;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -412,7 +412,8 @@
     task.mProgress = 0;
     task.mProgressInterval = milliseconds{ 0 };
     task.mProgressAt = now;
-    mPlanned.push_back({ start.mJob, start.mPosition, run, start.mWorker });
+    mPlanned.push_back(
+      { start.mJob, start.mPosition, run, start.mWorker, session.mReport.mCapacity });
     mDirty.Insert(start.mJob);
     UpdatePhase(job);
   }
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -114,6 +114,13 @@
   auto const hasChanged = isNew || mHeartbeat->mState != aHeartbeat.mState ||
                           !(mHeartbeat->mCapacity == aHeartbeat.mCapacity) ||
                           mHeartbeat->mLabels != aHeartbeat.mLabels;
+  if (!isNew && !aHeartbeat.mCapacity.Covers(mHeartbeat->mCapacity)) {
+    mShrunkAt = base::Now();
+    base::Log("side")->info(
+      "worker-shrunk worker={} millicores={} memory_mebibytes={} accelerators={}",
+      aHeartbeat.mWorker, aHeartbeat.mCapacity.mMillicores, aHeartbeat.mCapacity.mMemoryMebibytes,
+      aHeartbeat.mCapacity.mAccelerators);
+  }
   mHeartbeat = aHeartbeat;
   mHeartbeatAt = base::Now();
   if (isNew) {
@@ -559,12 +566,15 @@
   for (int attempt = 0; attempt < kStartAttempts; ++attempt) {
     // Checked immediately before each call, as the process may have been suspended.
     auto const age = base::Now() - aReportSentAt;
-    if (age > kMaximumOrderAge || mState != worker_state::ready || !mHeartbeat ||
+    // The scheduler has chosen the worker by its former capacity.
+    auto const hasShrunk = aReportSentAt < mShrunkAt;
+    if (age > kMaximumOrderAge || hasShrunk || mState != worker_state::ready || !mHeartbeat ||
         mHeartbeat->mIncarnationStart != incarnationStart || mTerm != aTerm) {
       if (attempt == 0) {
         result.mOutcome = order_outcome::not_started;
         result.mDetail = mTerm != aTerm           ? "another scheduler has taken over"
                          : age > kMaximumOrderAge ? "the order is too old"
+                         : hasShrunk              ? "the worker has shrunk"
                                                   : "the worker is not ready";
       }
       break;
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -121,6 +121,8 @@
   std::optional<platform::worker_heartbeat> mHeartbeat;
   base::time_point mHeartbeatAt{};
   worker_state mState = worker_state::absent;
+  /// Time of the last heartbeat with a smaller capacity than the one before.
+  base::time_point mShrunkAt{};
   bool mHasRunLists = false;
   platform::worker_run_lists mLists;
   base::time_point mRunListsReadAt{};
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -62,6 +62,8 @@
   /// Tasks of this job serve users; mResponseTimeTail is their tail response time in milliseconds.
   std::string mServingJob{};
   std::int64_t mResponseTimeTail = 0;
+  /// Accelerators in the heartbeats. The worker starts what it is told to, whatever they are.
+  int mAccelerators = 8;
   /// Crashes that deadly runs have caused.
   std::size_t mCrashes = 0;
   /// Last pace ordered for each task.
@@ -103,7 +105,8 @@
                           { "address", net::ToString(Endpoint()) },
                           { "zone", aDomain },
                           { "state", aState },
-                          { "capacity", { { "cpu", 64000 }, { "mem_mb", 262144 }, { "gpu", 8 } } },
+                          { "capacity",
+                            { { "cpu", 64000 }, { "mem_mb", 262144 }, { "gpu", mAccelerators } } },
                           { "labels", { "a", aRack } },
                           { "clock_ms", Clock() },
                           { "seq", ++mHeartbeats },
