Dispatch: Count listed runs that no task has as use of their worker

Cause: free resources were the capacity less the demand of the tasks' current runs. A run that its worker lists beside those, since it was requeued, belongs to a job that is gone or ends with its gang, counted as nothing until its stop took effect. Change: such a run reserves the demand of its task; one of an unknown job keeps starts from the worker. Result: a_run_that_no_task_has_uses_its_worker passes; on the former decision a run of 8 accelerators starts beside the listed one.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -205,6 +205,9 @@
   void SchedulePlanning();
   void Plan();
   std::vector<worker_snapshot> WorkerSnapshots(base::time_point aNow);
+  /// Reserves resources for listed runs that are no task's current run; they are being stopped, or
+  /// end with their gang.
+  void ReserveForOtherRuns(session const& aSession, worker_snapshot& aSnapshot);
   std::vector<waiting_group> WaitingGroups(std::set<std::string> const& aGuaranteed,
                                            base::time_point aNow);
   base::milliseconds ExpectedRunTime(job_record const& aJob, job_step const& aStep) const;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -186,9 +186,32 @@
     snapshot.mHasServing = snapshot.mHasServing || aJob.Step(aPosition).mServingTarget.count() > 0;
     snapshot.mHasBestEffort = snapshot.mHasBestEffort || aJob.Step(aPosition).mIsBestEffort;
   });
+  for (auto& snapshot : snapshots) {
+    ReserveForOtherRuns(*mSessions.at(snapshot.mWorker), snapshot);
+  }
   return snapshots;
 }
 
+void scheduler::ReserveForOtherRuns(session const& aSession, worker_snapshot& aSnapshot)
+{
+  if (!aSession.mReport.mHasRunLists) {
+    return;
+  }
+  for (auto const& run : aSession.mReport.mRunning) {
+    if (FindActiveRun(aSession, run.mTask, run.mRun).mTask != nullptr) {
+      continue;
+    }
+    aSnapshot.mHasRuns = true;
+    auto const found = FindTask(run.mTask);
+    if (found.mTask != nullptr) {
+      aSnapshot.mFree -= ReservedDemand(found.mJob->Step(found.mPosition));
+    } else if (aSnapshot.AcceptsStarts()) {
+      // The demand of a task of an unknown job is unknown as well.
+      aSnapshot.mBarrier = start_obstacle::paused;
+    }
+  }
+}
+
 std::set<std::string> scheduler::GuaranteedJobs()
 {
   std::vector<job_record*> urgent;
--- a/source/platform/tests/shrinking_worker_test.cpp
+++ b/source/platform/tests/shrinking_worker_test.cpp
@@ -71,6 +71,26 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a start beside a listed run that no task has any more: what is being stopped uses
+// its worker as well.
+BOOST_AUTO_TEST_CASE(a_run_that_no_task_has_uses_its_worker)
+{
+  test_cluster cluster{ 2, 1 };
+  auto& side = *cluster.mSides[0];
+  side.mWorker.mWork = milliseconds{ 20'000 };
+  side.mWorker.mFaults.mDropsStops = true;
+  cluster.RunFor(milliseconds{ 300 });
+  side.mWorker.AddUnorderedRun(JobId(9) + ".0.0.0", 1);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return side.mWorker.mStopCalls > 0; }));
+  auto const path = "/b/" + JobId(3);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(1, 8)) == 200U);
+  cluster.RunFor(milliseconds{ 1500 });
+  BOOST_TEST(Runs(cluster) == 1U);
+  side.mWorker.mFaults.mDropsStops = false;
+  BOOST_TEST(cluster.ReachesState(path, "running"));
+  BOOST_TEST(Runs(cluster) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
