Dispatch: Take no job from the store that no caller could submit

What callers saw: nothing yet; the report of other operators (one odd entry of another writer ends the machines that read it). Cause: a row that decodes as a job was taken as one. A dependency on a step outside the job was read past the end of a vector, and 10^8 tasks were allocated: every front that read the row ended, and again at each start. Evidence: impossible_jobs_are_not_taken ends with a memory access violation on the former code. Change: the limits of a submission, dependencies and signs are checked for rows as well; such a row is logged and left out. Result: impossible_jobs_are_not_taken passes. odd_rows_do_not_stop_the_fronts passed before as well: nested lists, numbers out of range, ports out of range and bytes that are no text, in rows of every kind.

--- a/source/dispatch/job.cpp
+++ b/source/dispatch/job.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/job.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace rattanpond::dispatch {
@@ -43,4 +44,27 @@
   return parsed;
 }
 
+std::string WhyImpossible(job_description const& aJob)
+{
+  if (aJob.mSteps.empty() || aJob.mSteps.size() > kMaximumSteps) {
+    return "the number of steps is not between 1 and " + std::to_string(kMaximumSteps);
+  }
+  std::int64_t tasks = 0;
+  for (std::uint32_t index = 0; index < aJob.mSteps.size(); ++index) {
+    auto const& step = aJob.mSteps[index];
+    tasks += step.mCount;
+    if (std::ranges::any_of(step.mDependencies,
+                            [&](std::uint32_t aEarlier) { return aEarlier >= index; })) {
+      return "a step depends on one that is not an earlier one";
+    }
+    if (!step.mDemand.Covers({}) || step.mEstimate.count() < 0) {
+      return "a demand or an estimate is negative";
+    }
+  }
+  if (tasks * aJob.Runs() > kMaximumTasks) {
+    return "there are more than " + std::to_string(kMaximumTasks) + " tasks";
+  }
+  return {};
+}
+
 } // namespace rattanpond::dispatch
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -126,6 +126,14 @@
   }
 };
 
+/// Limits of one job; the tasks are counted over all its occurrences.
+inline constexpr std::size_t kMaximumSteps = 200;
+inline constexpr std::int64_t kMaximumTasks = 20'000;
+
+/// Returns why a description cannot be a job, or an empty text. Rows in the store may come from
+/// other programs.
+std::string WhyImpossible(job_description const& aJob);
+
 enum class job_phase
 {
   queued,
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -281,6 +281,11 @@
   if (!description) {
     return;
   }
+  if (auto const reason = WhyImpossible(*description); !reason.empty()) {
+    base::Log("replica")->warn("job-impossible job={} version={} reason=\"{}\"", aId, aRow.mVersion,
+                               reason);
+    return;
+  }
   AddJob(aId, std::move(*description));
   if (auto const waitingState = mStatesWithoutJob.find(aId);
       waitingState != mStatesWithoutJob.end()) {
--- a/source/platform/job_wire.cpp
+++ b/source/platform/job_wire.cpp
@@ -7,12 +7,12 @@
 namespace rattanpond::platform {
 
 using base::milliseconds;
+using dispatch::kMaximumSteps;
+using dispatch::kMaximumTasks;
 
 namespace {
 
 constexpr std::size_t kJobIdDigits = 16;
-constexpr std::size_t kMaximumSteps = 200;
-constexpr std::int64_t kMaximumTasks = 20'000;
 constexpr std::int64_t kMaximumOccurrences = 1000;
 
 std::int64_t NonNegative(json_reader& aReader, char const* aName)
