Platform: Take no heartbeat that names no worker

Cause: a heartbeat with an incarnation far in the future was taken, and every true heartbeat of the worker then counted as outdated: the side no longer followed its worker. The address was not read; negative capacities were taken. Evidence: odd_heartbeats_do_not_replace_a_worker fails on the former code, the job is never done. Change: the address must have a valid port, capacities must not be negative, and an incarnation must not start more than an hour from now. Result: the test passes.

--- a/source/platform/tests/odd_entries_test.cpp
+++ b/source/platform/tests/odd_entries_test.cpp
@@ -117,6 +117,38 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a side that ends, or no longer hears its worker, after one heartbeat of another
+// writer.
+BOOST_AUTO_TEST_CASE(odd_heartbeats_do_not_replace_a_worker)
+{
+  test_cluster cluster{ 2, 1 };
+  auto& side = *cluster.mSides[0];
+  auto const good = base::json::parse(side.mWorker.Heartbeat(side.mDomain, side.mRack));
+  auto const send = [&](char const* aName, base::json const& aValue) {
+    auto odd = good;
+    odd[aName] = aValue;
+    odd["seq"] = 1;
+    odd["born"] =
+      aName == std::string{ "born" } ? aValue : base::json(side.mWorker.IncarnationStart() + 1);
+    side.Agent().Heartbeat("i-odd", odd.dump());
+  };
+  side.Agent().Heartbeat("i-odd", Nested(1'000'000));
+  side.Agent().Heartbeat("i-odd", R"({"born":)" + Nested(1'000'000) + "}");
+  side.Agent().Heartbeat("i-odd", R"({"born":1e999})");
+  send("born", 9'007'199'254'740'991);
+  send("address", "10.0.0.1:99999");
+  send("address", "nowhere");
+  send("address", 7);
+  send("capacity", { { "gpu", -8 } });
+  send("capacity", { { "gpu", 1e300 } });
+  send("labels", { 7 });
+  send("zone", 7);
+  auto const path = "/u/" + JobId(4);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(3, 1)) == 200U);
+  BOOST_TEST(cluster.ReachesState(path, "done"));
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
--- a/source/platform/worker_client.cpp
+++ b/source/platform/worker_client.cpp
@@ -4,6 +4,7 @@
 
 namespace rattanpond::platform {
 
+using base::milliseconds;
 using boost::asio::awaitable;
 using dispatch::order_outcome;
 
@@ -17,6 +18,9 @@
 constexpr std::size_t kMaximumLabels = 64;
 /// The worker lists at most this many ends at a time.
 constexpr std::size_t kMaximumListedEnds = 500;
+/// No two clocks of the platform differ by more. An incarnation that starts later than now would
+/// hide all heartbeats of the true one.
+constexpr base::milliseconds kClockMargin{ std::chrono::hours{ 1 } };
 /// A longer notice is taken for an error.
 constexpr base::milliseconds kLongestTimeLeft{ std::chrono::hours{ 24 } };
 
@@ -34,6 +38,9 @@
   dispatch::resources decoded{ .mMillicores = reader.Integer("cpu"),
                                .mMemoryMebibytes = reader.Integer("mem_mb"),
                                .mAccelerators = reader.Integer("gpu") };
+  if (!decoded.Covers({})) {
+    reader.Reject("a value is negative");
+  }
   if (!reader.IsValid()) {
     aOuter.Reject("capacity: " + reader.Failure());
   }
@@ -146,6 +153,14 @@
   } else if (state != "ready") {
     reader.Reject("state is neither ready nor draining");
   }
+  if (milliseconds{ heartbeat.mIncarnationStart - base::WallClockMilliseconds() } > kClockMargin) {
+    reader.Reject("born lies in the future");
+  }
+  auto const endpoint =
+    base::Capture([&] { return net::ParseEndpoint(reader.RequiredText("address")); });
+  if (!base::Succeeded(endpoint)) {
+    reader.Reject("address: " + base::Error(endpoint).mMessage);
+  }
   heartbeat.mCapacity = DecodeResources(reader.Member("capacity"), reader);
   auto const& labels = reader.Member("labels");
   if (labels.is_array() && labels.size() <= kMaximumLabels) {
