Platform: Read nested settings without a copy

Cause: the objects of the settings file were copied, and the copy of a JSON value calls itself for each level: a process ended at its start. Evidence: odd_settings_are_refused_without_harm ends with a memory access violation on the former code. Change: references in place of copies.

--- a/source/platform/deployment_settings.cpp
+++ b/source/platform/deployment_settings.cpp
@@ -48,9 +48,11 @@
   aSettings.mStatusRetention = Seconds(aBounds, "status_s", aSettings.mStatusRetention);
 }
 
-base::json ObjectOrEmpty(base::json const& aValue)
+/// No copy, since the copy of a deeply nested value exhausts the stack.
+base::json const& ObjectOrEmpty(base::json const& aValue)
 {
-  return aValue.is_object() ? aValue : base::json::object();
+  static base::json const sEmpty = base::json::object();
+  return aValue.is_object() ? aValue : sEmpty;
 }
 
 } // namespace
@@ -66,21 +68,21 @@
   settings.mNode = reader.RequiredText("node");
   settings.mFailureDomain = reader.RequiredText("zone");
   settings.mAddress = reader.RequiredText("ip");
-  auto const listenObject = ObjectOrEmpty(reader.Member("listen"));
+  auto const& listenObject = ObjectOrEmpty(reader.Member("listen"));
   json_reader listen{ listenObject };
   BOOST_LEAF_ASSIGN(settings.mCallers, OptionalEndpoint(listen, "frontend"));
   BOOST_LEAF_ASSIGN(settings.mReadiness, OptionalEndpoint(listen, "readiness"));
   BOOST_LEAF_ASSIGN(settings.mHeartbeats, OptionalEndpoint(listen, "control"));
   BOOST_LEAF_ASSIGN(settings.mWorker, OptionalEndpoint(reader, "app"));
   BOOST_LEAF_ASSIGN(settings.mAdvice, OptionalEndpoint(reader, "advice"));
-  auto const storeObject = ObjectOrEmpty(reader.Member("platform"));
+  auto const& storeObject = ObjectOrEmpty(reader.Member("platform"));
   json_reader store{ storeObject };
   BOOST_LEAF_ASSIGN(settings.mStore, net::ParseEndpoint(store.Text("address")));
   auto const& ports = reader.Member("internal_ports");
   if (ports.is_array() && !ports.empty() && ports[0].is_number_unsigned()) {
     settings.mInternalPort = ports[0].get<std::uint16_t>();
   }
-  auto const boundsObject = ObjectOrEmpty(reader.Member("bounds"));
+  auto const& boundsObject = ObjectOrEmpty(reader.Member("bounds"));
   json_reader bounds{ boundsObject };
   ReadBounds(bounds, settings);
   for (auto const* const part : { &reader, &listen, &store, &bounds }) {
--- a/source/platform/operator_rows.h
+++ b/source/platform/operator_rows.h
@@ -12,7 +12,8 @@
 inline constexpr char const* kConfigurationKey = "config";
 inline constexpr char const* kEvacuationPrefix = "evacuate/";
 
-/// Fails if any part that rattanpond uses is invalid, so that a version is taken whole or not at all.
+/// Fails if any part that rattanpond uses is invalid, so that a version is taken whole or not at
+/// all.
 base::result<dispatch::operator_configuration> ParseConfiguration(std::string const& aText);
 
 } // namespace rattanpond::platform
--- a/source/platform/tests/odd_entries_test.cpp
+++ b/source/platform/tests/odd_entries_test.cpp
@@ -149,6 +149,17 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a process that ends at its start, or at a change of its settings.
+BOOST_AUTO_TEST_CASE(odd_settings_are_refused_without_harm)
+{
+  for (auto const* const name : { "listen", "platform", "bounds", "internal_ports" }) {
+    auto const text =
+      R"({"node":"n","zone":"z","ip":"10.1.0.1","platform":{"address":"10.2.0.1:90"},")" +
+      std::string{ name } + R"(":{"deep":)" + Nested(1'000'000) + "}}";
+    (void)base::Capture([&] { return ParseDeploymentSettings(text); });
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
