Dispatch: Let a run that is done end the trial of its job's tasks

Cause: only a run that outlived its probation of 3 s showed that the job's tasks do not crash workers. Shorter tasks that had once lost their worker started one after the other for good. A worker on probation also left the capacity of its service. Change: a run that ends done shows the same; a worker on probation counts as capacity.

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -822,7 +822,8 @@
 void service_load::Add(worker_snapshot const& aWorker)
 {
   if (aWorker.mBarrier == start_obstacle::none || aWorker.mBarrier == start_obstacle::paused ||
-      aWorker.mBarrier == start_obstacle::quarantined) {
+      aWorker.mBarrier == start_obstacle::quarantined ||
+      aWorker.mBarrier == start_obstacle::probation) {
     mCapacity += WeightInCores(aWorker.mCapacity);
     mFree += WeightInCores(aWorker.mFree);
   }
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -236,6 +236,7 @@
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
+    aJob.SetProvenRun();
     if (task.mIsRunTimeMeasured) {
       mRunTimes.Observe(aJob.Description().mQueue, step.mEstimate, now - task.mStartedAt);
       mHasNewRunTimes = true;
--- a/source/platform/tests/deadly_task_test.cpp
+++ b/source/platform/tests/deadly_task_test.cpp
@@ -99,6 +99,22 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against tasks that start one after the other for good, once their worker was lost under
+// all of them: they end before their probation does.
+BOOST_AUTO_TEST_CASE(short_tasks_start_together_again_after_a_crash)
+{
+  test_cluster cluster{ 2, 1 };
+  auto& worker = cluster.mSides[0]->mWorker;
+  worker.mWork = milliseconds{ 1000 };
+  auto const path = "/u/" + JobId(13);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", path, JobBody(8, 1)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 8; }));
+  worker.Crash();
+  // Two rounds of 1 s, in place of eight.
+  BOOST_TEST(cluster.ReachesState(path, "done", milliseconds{ 6000 }));
+  RequireNoFaults(cluster);
+}
+
 // Guards against a job that is given up for crashes that it did not cause: its worker is lost again
 // and again after it has worked there for a while.
 BOOST_AUTO_TEST_CASE(a_job_whose_workers_crash_later_goes_on)
