--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -221,6 +221,8 @@
 awaitable<http_response> caller_api::HandleForwarded(http_request aRequest)
 {
   auto response = co_await HandleLocally(std::move(aRequest));
+  // The version may have changed since the decision. A newer one makes the other front only
+  // stricter.
   response.mHeaders.Add(kConfigurationVersionHeader, std::to_string(ConfigurationVersion()));
   co_return response;
 }
