Review: a deadly task that crashes its worker late is started without end

Cause: a run that is listed 3 s after its start counts as harmless, so later crashes count for nothing. The stand-in's workers can crash by a run and drain.

--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -289,10 +289,27 @@
                    { "clock_ms", 1000 },
                    { "born", born },
                    { "seq", 1 } };
+  return PutHeartbeat(aSide, aWorker, beat);
+}
+
+int deployment::SendHighSequence(std::size_t aSide)
+{
+  json const beat{ { "service", kService },
+                   { "address", mSides[aSide]->Address() + ":" + std::to_string(kWorkerPort) },
+                   { "zone", kZones[aSide % kFronts] },
+                   { "state", "ready" },
+                   { "capacity", { { "cpu", 128'000 }, { "mem_mb", 262'144 }, { "gpu", 8 } } },
+                   { "born", mWorkers[aSide]->Born() },
+                   { "seq", 1'000'000'000 } };
+  return PutHeartbeat(aSide, mWorkers[aSide]->Id(), beat);
+}
+
+int deployment::PutHeartbeat(std::size_t aSide, std::string const& aWorker, json const& aBeat)
+{
   auto const answer = Call(mSides[aSide]->Address(), kControlPort, "PUT",
-                           "/api/instances/" + aWorker, {}, beat.dump(), 1000);
+                           "/api/instances/" + aWorker, {}, aBeat.dump(), 1000);
   mRecord.Line("another program: PUT /api/instances/" + aWorker + " at " + mSides[aSide]->Name() +
-               ": " + std::to_string(answer.mStatus) + ", " + beat.dump());
+               ": " + std::to_string(answer.mStatus) + ", " + aBeat.dump());
   return answer.mStatus;
 }
 
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -97,6 +97,9 @@
 
   /// A heartbeat of another program at a side. Returns the status of the answer.
   int SendHeartbeat(std::size_t aSide, std::string const& aWorker, std::string const& aService);
+  /// A heartbeat with the worker's identifier and start, some fields missing, and a sequence number
+  /// far ahead.
+  int SendHighSequence(std::size_t aSide);
 
   run_plan Plan(std::string const& aTask, std::uint32_t aRun) override;
   void Started(std::string const& aWorker, std::string const& aTask, std::uint32_t aRun) override;
@@ -121,6 +124,8 @@
   http_response ClientCall(std::string const& aMethod, std::string const& aTarget,
                            std::string const& aBody, int aFront);
 
+  int PutHeartbeat(std::size_t aSide, std::string const& aWorker, json const& aBeat);
+
   options mOptions;
   record mRecord;
   std::string mFolder;
--- a/review/standin/trial.cpp
+++ b/review/standin/trial.cpp
@@ -284,16 +284,99 @@
   return doubled > 0 ? verdict::broken : verdict::held;
 }
 
+/// A task crashes each executor that starts it, some seconds after its start.
+verdict LateDeadly(std::string const& aRecord)
+{
+  constexpr std::int64_t kCrashAfterMs = 3600;
+  constexpr std::int64_t kWorkMs = 1500;
+  constexpr std::int64_t kTrafficMs = 60'000;
+  constexpr std::int64_t kEachMs = 1000;
+  // After three crashes the rule allows fewer than three more starts.
+  constexpr int kCrashes = 3;
+  constexpr int kMoreStarts = 3;
+  auto const deadlyJob = JobId(4096);
+  deployment system{ { .mSides = 4,
+                       .mQueues = { { .mName = "bulk", .mPrefix = "/b/", .mPriority = 2 },
+                                    { .mName = "urgent", .mPrefix = "/u/", .mPriority = 0 } },
+                       .mRecordPath = aRecord } };
+  system.mPlan = [&](std::string const& aTask, std::uint32_t) {
+    auto const isDeadlyJob = aTask.starts_with(deadlyJob);
+    return run_plan{ .mWorkMs = isDeadlyJob ? kCrashAfterMs : kWorkMs,
+                     .mIsDeadly = isDeadlyJob && HasTrouble() };
+  };
+  if (!system.AwaitReady(kStartMs) ||
+      !Accept(system, "/b/", deadlyJob, Job({ Step(1, 11'000, 1, 5000) }))) {
+    return verdict::could_not_run;
+  }
+  int accepted = 0;
+  for (auto const until = NowMs() + kTrafficMs; NowMs() < until; SleepMs(kEachMs)) {
+    ++accepted;
+    Accept(system, "/u/", JobId(accepted), Job({ Step(1, 11'000, 1, kWorkMs) }));
+  }
+  auto const state = system.State("/b/", deadlyJob);
+  int crashes = 0;
+  int startsAfter = 0;
+  int othersLost = 0;
+  for (auto const& event : system.Events()) {
+    auto const isDeadlyJob = event.mTask.starts_with(deadlyJob);
+    auto const isLost = event.mEnd == "lost with its worker";
+    crashes += isDeadlyJob && isLost ? 1 : 0;
+    othersLost += !isDeadlyJob && isLost ? 1 : 0;
+    startsAfter += isDeadlyJob && event.mEnd.empty() && crashes >= kCrashes ? 1 : 0;
+  }
+  system.Record().Line(
+    "the job is shown as " + state + "; executors crashed under it: " + std::to_string(crashes) +
+    "; starts after the third crash: " + std::to_string(startsAfter) +
+    "; runs of other jobs lost with these executors: " + std::to_string(othersLost));
+  return startsAfter >= kMoreStarts ? verdict::broken : verdict::held;
+}
+
+/// A heartbeat of another program carries a sequence number far ahead; then the executor drains.
+verdict HighSequence(std::string const& aRecord)
+{
+  constexpr std::size_t kSide = 0;
+  constexpr std::int64_t kDrainMs = 2000;
+  constexpr std::int64_t kTrafficMs = 8000;
+  constexpr std::int64_t kEachMs = 200;
+  deployment system{ { .mSides = 3,
+                       .mQueues = { { .mName = "urgent", .mPrefix = "/u/", .mPriority = 0 } },
+                       .mRecordPath = aRecord } };
+  if (!system.AwaitReady(kStartMs)) {
+    return verdict::could_not_run;
+  }
+  SleepMs(2000);
+  if (HasTrouble()) {
+    system.SendHighSequence(kSide);
+  }
+  system.Workers()[kSide]->Drain();
+  auto const acknowledged = NowMs();
+  system.Record().Line("worker i-1 drains, acknowledged");
+  int accepted = 0;
+  while (NowMs() < acknowledged + kTrafficMs) {
+    ++accepted;
+    Accept(system, "/u/", JobId(accepted), Job({ Step(1, 11'000, 1, 500) }));
+    SleepMs(kEachMs);
+  }
+  int late = 0;
+  for (auto const& event : system.Events()) {
+    late += event.mEnd.empty() && event.mWorker == "i-1" && event.mAtMs > acknowledged + kDrainMs;
+  }
+  system.Record().Line("starts on i-1 later than drain_ms after the acknowledgement: " +
+                       std::to_string(late));
+  return late > 0 ? verdict::broken : verdict::held;
+}
+
 struct case_entry
 {
   char const* mName;
   verdict (*mRun)(std::string const& aRecord);
 };
 
-constexpr case_entry kCases[] = { { "large-job", &LargeJob },
-                                  { "route-removed", &RouteRemoved },
-                                  { "odd-heartbeat", &OddHeartbeat },
-                                  { "reborn", &Reborn } };
+constexpr case_entry kCases[] = {
+  { "large-job", &LargeJob },         { "route-removed", &RouteRemoved },
+  { "odd-heartbeat", &OddHeartbeat }, { "reborn", &Reborn },
+  { "late-deadly", &LateDeadly },     { "high-sequence", &HighSequence }
+};
 
 } // namespace
 
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -48,8 +48,18 @@
   mTicker = std::thread{ [this] {
     while (!mIsEnding) {
       SleepMs(kTickMs);
-      std::lock_guard const lock{ mMutex };
-      Advance();
+      std::unique_lock lock{ mMutex };
+      if (HasDeadlyRun()) {
+        mBackAtMs = NowMs() + kDownMs;
+        lock.unlock();
+        Crash();
+      } else if (mBackAtMs != 0 && NowMs() >= mBackAtMs) {
+        mBackAtMs = 0;
+        lock.unlock();
+        Restart();
+      } else {
+        Advance();
+      }
     }
   } };
   mHeartbeats = std::thread{ [this] {
@@ -70,7 +80,9 @@
     mIsOn = false;
   }
   mChanged.notify_all();
-  mFormerServers.push_back(std::move(mServer));
+  if (mServer) {
+    mFormerServers.push_back(std::move(mServer));
+  }
   for (auto const& server : mFormerServers) {
     server->Stop();
     server->AwaitHandlers();
@@ -100,8 +112,10 @@
     mOptions.mObserver->Ended(mOptions.mId, task, active.mRun, "lost with its worker");
   }
   mRuns.clear();
-  mServer->Stop();
-  mFormerServers.push_back(std::move(mServer));
+  if (mServer) {
+    mServer->Stop();
+    mFormerServers.push_back(std::move(mServer));
+  }
   mChanged.notify_all();
 }
 
@@ -130,7 +144,7 @@
              { "zone", mOptions.mZone },
              { "version", "v1" },
              { "slots", 8 },
-             { "state", "ready" },
+             { "state", mState },
              { "cold_left_ms", 0 },
              { "capacity", mOptions.mCapacity },
              { "labels", { mOptions.mKind, mOptions.mRack } },
@@ -144,9 +158,38 @@
     // The side isn't there yet.
     std::lock_guard const lock{ mMutex };
     mNextHeartbeatMs = NowMs() + kHeartbeatMs / 10;
+  } else if (beat.at("state") == "draining") {
+    std::lock_guard const lock{ mMutex };
+    mDrainAcknowledgedMs = NowMs();
+  }
+}
+
+void worker::Drain()
+{
+  std::unique_lock lock{ mMutex };
+  mState = "draining";
+  mNextHeartbeatMs = NowMs();
+  while (mDrainAcknowledgedMs == 0) {
+    lock.unlock();
+    SleepMs(kTickMs);
+    lock.lock();
   }
 }
 
+std::int64_t worker::Born()
+{
+  std::lock_guard const lock{ mMutex };
+  return mBorn;
+}
+
+bool worker::HasDeadlyRun() const
+{
+  return mIsOn && std::ranges::any_of(mRuns, [](auto const& aEntry) {
+           auto const& active = aEntry.second;
+           return active.mPlan.mIsDeadly && NowMs() >= active.mStartedMs + active.mPlan.mWorkMs;
+         });
+}
+
 void worker::Advance()
 {
   if (!mIsOn) {
--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -11,6 +11,8 @@
 {
   std::int64_t mWorkMs = 500;
   bool mFails = false;
+  /// Instead of ending, the run crashes the executor, which is back after some seconds.
+  bool mIsDeadly = false;
 };
 
 /// Sees all starts and ends of the workers, in order, and decides what the runs do.
@@ -53,9 +55,15 @@
 
   /// Crashes: all runs are gone, nothing is answered or sent.
   void Crash();
+  /// Time for which the executor is down after a deadly run.
+  static constexpr std::int64_t kDownMs = 2000;
+
   /// A new incarnation with the same identifier, which knows nothing of before. Its first heartbeat
   /// goes out after the time given.
   void Restart(std::int64_t aFirstHeartbeatMs = 0);
+  /// From now on the heartbeats say that the executor drains. Returns when one was acknowledged.
+  void Drain();
+  std::int64_t Born();
   std::string const& Id() const { return mOptions.mId; }
 
   static constexpr std::int64_t kHeartbeatMs = 1500;
@@ -85,6 +93,8 @@
   http_response Answer(int aStatus, std::string const& aReason = {}) const;
   bool IsFenced(json const& aBody);
   void Advance();
+  /// Whether a deadly run has reached its end.
+  bool HasDeadlyRun() const;
   void SendHeartbeat();
   void Begin(std::int64_t aFirstHeartbeatMs);
   std::int64_t Clock() const { return 1000 + NowMs() - mBornAtMs; }
@@ -97,6 +107,8 @@
   std::int64_t mBornAtMs = 0;
   std::int64_t mBorn = 0;
   std::int64_t mSequence = 0;
+  std::string mState = "ready";
+  std::int64_t mDrainAcknowledgedMs = 0;
   std::int64_t mNextHeartbeatMs = 0;
   std::uint64_t mFence = 0;
   std::int64_t mDeadline = 0;
@@ -107,6 +119,8 @@
   std::unique_ptr<http_server> mServer;
   /// Servers of former incarnations.
   std::vector<std::unique_ptr<http_server>> mFormerServers;
+  /// Time at which the executor is back after a deadly run; 0 if it has not crashed.
+  std::int64_t mBackAtMs = 0;
   std::thread mTicker;
   std::thread mHeartbeats;
 };
