Dispatch: Start a task again only once its run is ruled out on a reborn worker

Cause: a heartbeat of a new incarnation was taken for proof that all runs of the former one were over. Starts that reached the new one before its first sign, or later, were tracked by nobody. Their deadlines are far ahead on the new clock. The side also acknowledged ends of the new incarnation by the numbers of the former.

Change: a run whose start may be open is carried over to the new incarnation and adopted, or stopped there before it starts again. The side starts, acknowledges and renews nothing while it is not confirmed which incarnation answers, and stops starts without an answer on later incarnations.

--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -4,6 +4,7 @@
 #include "dispatch/job.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,12 @@
   bool mIsRunTimeMeasured = false;
   /// Whether the run has started too recently to show that it does not crash its worker.
   bool mIsOnProbation = false;
+  /// Whether the worker has listed the run and no call to start it is open, so that the run ends
+  /// with the worker's incarnation.
+  bool mIsStartSettled = false;
+  /// Count before the last crash of the run's worker, until it is known that the next incarnation
+  /// does not have the run; empty otherwise.
+  std::optional<crash_count> mCrashesBeforeDoubt;
   /// Time at which a process that only follows the store learned of the run; not set if it was
   /// stored before.
   base::time_point mRunSeenAt{};
--- a/source/dispatch/messages.h
+++ b/source/dispatch/messages.h
@@ -63,7 +63,7 @@
 
 enum class order_outcome
 {
-  /// The worker has the run.
+  /// The worker has the run, and no call to start it is open.
   started,
   /// The run did not start and never will.
   not_started,
@@ -72,7 +72,7 @@
   /// The worker accepted the stop; the run lists of the same report show the run while it is
   /// ending.
   stopped,
-  /// The worker did not answer; it may still carry out the order.
+  /// A call was not answered; the worker may still carry out the order.
   unknown,
   /// The worker did not answer the start; its clock has passed the deadline of the start, and it
   /// does not have the run. The run did not start and never will.
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -136,7 +136,17 @@
   void LinkClosed(std::string const& aNode);
   void HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame);
   void HandleReport(session& aSession, side_report aReport);
-  void ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart);
+  /// Whether the calls for the former incarnation also reach its successor.
+  enum class identifier
+  {
+    other,
+    same_or_unknown
+  };
+  /// Requeues the runs that have ended with the former incarnation. A run that may reach the
+  /// successor is carried over to it as unconfirmed, until its run lists and a stop show the truth.
+  void ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart,
+                          identifier aIdentifier);
+  void CarryOver(job_record& aJob, task_position const& aPosition, std::int64_t aIncarnationStart);
   found_task FindTask(std::string const& aName);
   /// Returns the task if the run is its active one on the worker's current incarnation.
   found_task FindActiveRun(session const& aSession, std::string const& aTask, std::uint32_t aRun);
@@ -159,6 +169,9 @@
   /// incarnation. Returns whether a task is known to be suspect that ran there alone.
   bool RecordCrash(std::string const& aNode,
                    std::function<bool(tracked_task const&)> const& aIsOnWorker);
+  /// A run that was carried over is on the successor, so its worker did not crash under it. Returns
+  /// whether a crash had been counted.
+  bool TakeBackCrash(job_record& aJob, tracked_task& aTask);
   /// Whether a run of a former holder may have started too recently to show that it does not crash
   /// its worker.
   bool MayHaveHardlyBegun(tracked_task const& aTask) const;
--- a/source/dispatch/scheduler_crashes.cpp
+++ b/source/dispatch/scheduler_crashes.cpp
@@ -39,6 +39,7 @@
   for (auto const& [job, position] : suspects) {
     auto& task = *job->Find(position);
     hasCulprit = hasCulprit || (isAlone && task.mState.mCrashes.mCrashes > 0);
+    task.mCrashesBeforeDoubt = task.mState.mCrashes;
     task.mState.mCrashes.Add(isAlone);
     mDirty.Insert(job->Id());
     base::Log("scheduler")
@@ -57,6 +58,17 @@
   return hasCulprit;
 }
 
+bool scheduler::TakeBackCrash(job_record& aJob, tracked_task& aTask)
+{
+  if (!aTask.mCrashesBeforeDoubt) {
+    return false;
+  }
+  aTask.mState.mCrashes = *aTask.mCrashesBeforeDoubt;
+  aTask.mCrashesBeforeDoubt.reset();
+  mDirty.Insert(aJob.Id());
+  return true;
+}
+
 bool scheduler::MayHaveHardlyBegun(tracked_task const& aTask) const
 {
   if (aTask.mState.mCrashes != crash_count{}) {
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -431,6 +431,8 @@
     task.mRunStatusSince = now;
     task.mStartedAt = {};
     task.mEndUnknownSince = {};
+    task.mIsStartSettled = false;
+    task.mCrashesBeforeDoubt.reset();
     task.mReportedCheckpoint.clear();
     task.mProgress = 0;
     task.mProgressInterval = milliseconds{ 0 };
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -101,7 +101,10 @@
              aReport.mIncarnationStart, base::Name(aReport.mState));
   }
   if (aReport.mIncarnationStart > aSession.mReport.mIncarnationStart) {
-    ReplaceIncarnation(aSession, aReport.mIncarnationStart);
+    auto const& former = aSession.mReport.mWorker;
+    ReplaceIncarnation(aSession, aReport.mIncarnationStart,
+                       former.empty() || former == aReport.mWorker ? identifier::same_or_unknown
+                                                                   : identifier::other);
   }
   aSession.mHasReport = true;
   aSession.mReportedAt = now;
@@ -129,7 +132,7 @@
   ApplyResults(aSession, listed);
   if (report.mState == worker_state::gone) {
     // All runs end when the worker leaves; the run ends that it listed before are applied first.
-    ReplaceIncarnation(aSession, report.mIncarnationStart + 1);
+    ReplaceIncarnation(aSession, report.mIncarnationStart + 1, identifier::other);
   }
   if (report.mHasRunLists) {
     StopUnlistedRuns(aSession, listed);
@@ -139,7 +142,8 @@
   SendOrders(aSession);
 }
 
-void scheduler::ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart)
+void scheduler::ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart,
+                                   identifier aIdentifier)
 {
   aSession.mEnds = {};
   // A worker that announced its departure is not lost.
@@ -159,11 +163,35 @@
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mState.mWorker == aSession.mNode &&
         aTask.mState.mWorkerIncarnationStart < aIncarnationStart) {
-      RequeueTask(aJob, aPosition, "the worker's incarnation is gone");
+      if (aIdentifier == identifier::same_or_unknown && !aTask.mIsStartSettled &&
+          aTask.mRunStatus != run_status::planned) {
+        CarryOver(aJob, aPosition, aIncarnationStart);
+      } else {
+        RequeueTask(aJob, aPosition, "the worker's incarnation is gone");
+      }
     }
   });
 }
 
+void scheduler::CarryOver(job_record& aJob, task_position const& aPosition,
+                          std::int64_t aIncarnationStart)
+{
+  auto& task = *aJob.Find(aPosition);
+  auto const now = base::Now();
+  base::Log("scheduler")
+    ->info("run-in-doubt task={} run={} node={} born={} successor={} status={} age_ms={}",
+           TaskName(aJob.Id(), aPosition), task.mState.mRun, task.mState.mWorker,
+           task.mState.mWorkerIncarnationStart, aIncarnationStart, base::Name(task.mRunStatus),
+           TimeSince(task.mStartedAt, now));
+  mOptions.mMetrics.Counter("rattanpond_runs_in_doubt").Add();
+  task.mState.mWorkerIncarnationStart = aIncarnationStart;
+  task.mRunStatus = run_status::unconfirmed;
+  task.mRunStatusSince = now;
+  task.mEndUnknownSince = now;
+  task.mIsOnProbation = false;
+  mDirty.Insert(aJob.Id());
+}
+
 scheduler::found_task scheduler::FindTask(std::string const& aName)
 {
   auto const parsed = ParseTaskName(aName);
@@ -233,6 +261,7 @@
     task.mState.mCheckpoint = aEnd.mCheckpoint;
   }
   mDirty.Insert(aJob.Id());
+  TakeBackCrash(aJob, task);
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
@@ -383,6 +412,9 @@
         task->mStartedAt = now;
       }
     }
+    if (TakeBackCrash(*activeRun.mJob, *task)) {
+      task->mIsOnProbation = true;
+    }
     if (run.mPercent != task->mProgress) {
       task->mProgressInterval = task->mProgress > 0 ? now - task->mProgressAt : milliseconds{ 0 };
       task->mProgress = run.mPercent;
@@ -419,6 +451,7 @@
         if (task->mRunStatus == run_status::starting) {
           task->mRunStatus = run_status::running;
         }
+        task->mIsStartSettled = isListed;
         break;
       case order_outcome::not_started:
       case order_outcome::no_room:
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -41,6 +41,9 @@
 constexpr std::uint64_t kUnreadableLogInterval = 50;
 /// A worker that has reported its departure ends within this time.
 constexpr milliseconds kDepartureDelay{ 500 };
+/// Time for which a start call without an answer may still be carried out. The protocol speaks of
+/// seconds.
+constexpr milliseconds kLateCallWindow{ 30'000 };
 
 } // namespace
 
@@ -111,6 +114,10 @@
 void side_agent::ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat)
 {
   auto const isNew = !mHeartbeat || mHeartbeat->mIncarnationStart != aHeartbeat.mIncarnationStart;
+  if (mHeartbeat && mHeartbeat->mWorker != aHeartbeat.mWorker) {
+    // Each call names the identifier that it is for, and the successor refuses those of another.
+    mUnansweredStarts.clear();
+  }
   auto const hasChanged = isNew || mHeartbeat->mState != aHeartbeat.mState ||
                           !(mHeartbeat->mCapacity == aHeartbeat.mCapacity) ||
                           mHeartbeat->mLabels != aHeartbeat.mLabels;
@@ -128,6 +135,8 @@
                             aHeartbeat.mIncarnationStart, aHeartbeat.mService);
     mHasRunLists = false;
     mLists = {};
+    mUnknownIncarnationStart = 0;
+    DoubtIncarnation();
     // An earlier incarnation of this process may have renewed the lease until now. As long as the
     // worker's clock is unknown, the lease is assumed to have its full length from now on.
     mLease = {};
@@ -219,27 +228,92 @@
 {
   auto const worker = mHeartbeat->mWorker;
   auto const incarnationStart = mHeartbeat->mIncarnationStart;
-  platform::worker_client::poll_request values{ .mFence = mTerm,
-                                                .mAcknowledged = mAcknowledged,
-                                                .mWait = aWait };
-  if (MayRenewLease(base::Now()) && mLease.mClockMs > 0) {
+  platform::worker_client::poll_request values{ .mFence = mTerm, .mWait = aWait };
+  // The acknowledgement and the deadline hold for one incarnation only: another one would forget
+  // ends that nobody has seen, and take the deadline for a longer one.
+  if (IsIncarnationConfirmed()) {
+    values.mAcknowledged = mAcknowledged;
+  }
+  if (IsIncarnationConfirmed() && MayRenewLease(base::Now()) && mLease.mClockMs > 0) {
     values.mDeadlineMs = NextDeadline();
     mLease.mLatestDeadlineMs = std::max(mLease.mLatestDeadlineMs, values.mDeadlineMs);
   }
   sent_poll const poll{ .mNumber = ++mPolls, .mTerm = values.mFence };
+  auto const doubts = mDoubts;
   auto answer = co_await mWorker->PollRuns(worker, values);
   if (!mHeartbeat || mHeartbeat->mIncarnationStart != incarnationStart) {
     co_return false;
   }
-  if (!answer.mLists || (answer.mLists->mIncarnationStart != 0 &&
-                         answer.mLists->mIncarnationStart != incarnationStart)) {
+  if (!answer.mLists) {
+    DoubtIncarnation();
+    co_return false;
+  }
+  if (answer.mLists->mIncarnationStart != incarnationStart) {
+    if (answer.mLists->mIncarnationStart > incarnationStart) {
+      HandleUnknownIncarnation(answer.mLists->mIncarnationStart, "run lists");
+    }
     co_return false;
   }
+  mConfirmedDoubts = std::max(mConfirmedDoubts, doubts);
   mLease.mConfirmedDeadlineMs = std::max(mLease.mConfirmedDeadlineMs, values.mDeadlineMs);
   AcceptRunLists(std::move(*answer.mLists), poll);
   co_return true;
 }
 
+void side_agent::HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign)
+{
+  DoubtIncarnation();
+  if (mState == worker_state::gone ||
+      (aIncarnationStart != 0 && aIncarnationStart == mUnknownIncarnationStart)) {
+    return;
+  }
+  base::Log("side")->warn(
+    "worker-unknown-incarnation worker={} born={} answered_born={} sign=\"{}\" "
+    "open_starts={}",
+    mHeartbeat->mWorker, mHeartbeat->mIncarnationStart, aIncarnationStart, aSign,
+    mOpenStarts.size());
+  mOptions.mMetrics.Counter("rattanpond_unknown_incarnations").Add();
+  mUnknownIncarnationStart = aIncarnationStart;
+  // It may have carried out starts for its predecessor. Their deadlines are far ahead on its clock,
+  // so only the maximum bounds its lease.
+  mLease.mClockMs = 0;
+  mLease.mReadAt = base::Now();
+  mLease.mLatestDeadlineMs = mOptions.mSettings.mMaximumLease.count();
+  mLease.mConfirmedDeadlineMs = 0;
+  if (mState != worker_state::absent) {
+    mState = worker_state::absent;
+    RequestReport();
+  }
+  mPollTimer.cancel();
+}
+
+void side_agent::NoteUnansweredStart(run_key const& aRun, base::time_point aSentAt)
+{
+  std::erase_if(mUnansweredStarts,
+                [&](auto const& aEntry) { return aSentAt - aEntry.second > kLateCallWindow; });
+  mUnansweredStarts[aRun] = aSentAt;
+}
+
+void side_agent::StopUnansweredStarts()
+{
+  auto const now = base::Now();
+  for (auto const& [run, sentAt] : mUnansweredStarts) {
+    auto const isListed = std::ranges::any_of(mLists.mRunning, [&](auto const& aListed) {
+      return aListed.mTask == run.first && aListed.mRun == run.second;
+    });
+    if (isListed || now - sentAt > kLateCallWindow) {
+      continue;
+    }
+    base::Log("side")->info("stop task={} run={} why=\"its start had no answer from the former "
+                            "incarnation\" age_ms={}",
+                            run.first, run.second, (now - sentAt).count());
+    mOrders.push_back({ .mTerm = mTerm, .mStop = stop_order{ run.first, run.second } });
+  }
+  if (!mOrders.empty()) {
+    mOrderTimer.cancel();
+  }
+}
+
 void side_agent::AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll)
 {
   // Answers on different connections may arrive out of order; older run lists are ignored.
@@ -264,6 +338,9 @@
   }
   mLists = std::move(aLists);
   mRunListsReadAt = now;
+  if (!mHasRunLists) {
+    StopUnansweredStarts();
+  }
   mHasRunLists = true;
   mLease.mReadAt = now;
   SettleOpenStarts();
@@ -313,8 +390,8 @@
       co_await wait(kPollWait);
       continue;
     }
-    auto const isFirstRead = !mHasRunLists;
-    if (co_await ReadRunLists(isFirstRead ? milliseconds{ 0 } : PollWait())) {
+    auto const mustAnswerAtOnce = !mHasRunLists || !IsIncarnationConfirmed();
+    if (co_await ReadRunLists(mustAnswerAtOnce ? milliseconds{ 0 } : PollWait())) {
       // The worker answers at once while it has run ends that are not acknowledged.
       auto const hasUnstoredEnds =
         !mLists.mEnded.empty() && mLists.mEnded.back().mNumber > mAcknowledged;
@@ -560,6 +637,9 @@
   run_key const run{ aOrder.mTask, aOrder.mRun };
   // A side that was without a scheduler has renewed no lease, and the start's own deadline is
   // short. With the lease renewed first, the run outlives a suspension of this process.
+  if (mState == worker_state::ready && !IsIncarnationConfirmed()) {
+    co_await ReadRunLists(milliseconds{ 0 });
+  }
   if (mState == worker_state::ready && mLease.mConfirmedDeadlineMs <= StartDeadline()) {
     co_await ReadRunLists(milliseconds{ 0 });
   }
@@ -569,13 +649,15 @@
     // The scheduler has chosen the worker by its former capacity.
     auto const hasShrunk = aReportSentAt < mShrunkAt;
     if (age > kMaximumOrderAge || hasShrunk || mState != worker_state::ready || !mHeartbeat ||
-        mHeartbeat->mIncarnationStart != incarnationStart || mTerm != aTerm) {
+        mHeartbeat->mIncarnationStart != incarnationStart || !IsIncarnationConfirmed() ||
+        mTerm != aTerm) {
       if (attempt == 0) {
         result.mOutcome = order_outcome::not_started;
-        result.mDetail = mTerm != aTerm           ? "another scheduler has taken over"
-                         : age > kMaximumOrderAge ? "the order is too old"
-                         : hasShrunk              ? "the worker has shrunk"
-                                                  : "the worker is not ready";
+        result.mDetail = mTerm != aTerm              ? "another scheduler has taken over"
+                         : age > kMaximumOrderAge    ? "the order is too old"
+                         : hasShrunk                 ? "the worker has shrunk"
+                         : !IsIncarnationConfirmed() ? "the worker's incarnation is not confirmed"
+                                                     : "the worker is not ready";
       }
       break;
     }
@@ -584,19 +666,34 @@
     auto& open = mOpenStarts[run];
     open.mDeadlineMs = std::max(open.mDeadlineMs, deadline);
     auto const sentAt = base::Now();
+    auto const clockMs = mLease.mClockMs;
     auto const answer =
       co_await mWorker->Start(worker, aOrder, { .mFence = aTerm, .mDeadlineMs = deadline });
     mOptions.mMetrics.Histogram("rattanpond_start_call_seconds")
       .Record(std::chrono::duration<double>(base::Now() - sentAt).count());
     result.mDetail = answer.mDetail;
-    // After an attempt without an answer, a refusal does not reveal the outcome of that attempt.
-    if (answer.mOutcome == order_outcome::started || attempt == 0) {
+    auto const isSameIncarnation = mHeartbeat && mHeartbeat->mIncarnationStart == incarnationStart;
+    if (isSameIncarnation && answer.mClockMs != 0 && answer.mClockMs < clockMs) {
+      HandleUnknownIncarnation(0, "clock of the answer to a start");
+    }
+    if (answer.mOutcome == order_outcome::unknown) {
+      DoubtIncarnation();
+      NoteUnansweredStart(run, sentAt);
+    }
+    // After an attempt without an answer, another answer does not reveal the outcome of that
+    // attempt, which may still be carried out.
+    if (attempt == 0) {
       result.mOutcome = answer.mOutcome;
     }
     if (answer.mOutcome != order_outcome::unknown) {
       break;
     }
     co_await WaitForRetry(attempt, sentAt);
+    // Without an answer it is not known whether the worker is still the same.
+    if (mHeartbeat && mHeartbeat->mIncarnationStart == incarnationStart &&
+        !IsIncarnationConfirmed()) {
+      co_await ReadRunLists(milliseconds{ 0 });
+    }
   }
   if (auto const open = mOpenStarts.find(run);
       open != mOpenStarts.end() && mHeartbeat->mIncarnationStart == incarnationStart) {
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -88,6 +88,14 @@
   boost::asio::awaitable<void> OrderLoop();
   boost::asio::awaitable<void> ReadRunListsForResults();
   boost::asio::awaitable<bool> ReadRunLists(base::milliseconds aWait);
+  /// A call had no answer, so that the worker may be another incarnation by now.
+  void DoubtIncarnation() { ++mDoubts; }
+  bool IsIncarnationConfirmed() const { return mConfirmedDoubts == mDoubts; }
+  /// Another incarnation than the registered one has answered. Nothing is started on it before it
+  /// has registered.
+  void HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign);
+  /// Stops runs that this incarnation does not list, and may still receive a start of.
+  void StopUnansweredStarts();
   boost::asio::awaitable<order_result> ExecuteOrder(pending_order aOrder);
   boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder, std::uint64_t aTerm,
                                                     base::time_point aReportSentAt);
@@ -104,6 +112,8 @@
   std::int64_t StartDeadline() const;
   /// Maximum wait of the next poll; it ends soon after the deadline of an open start.
   base::milliseconds PollWait() const;
+  /// Remembers that a start had no answer.
+  void NoteUnansweredStart(run_key const& aRun, base::time_point aSentAt);
   /// Determines from the run lists which of the starts without an answer have taken effect, and
   /// which never will.
   void SettleOpenStarts();
@@ -141,6 +151,15 @@
   std::vector<order_result> mResultsAwaitingRunLists;
   std::vector<order_result> mResults;
   std::map<run_key, open_start> mOpenStarts;
+  /// Send times of recent start calls without an answer. The worker may carry them out later, also
+  /// its next incarnation, on whose clock their deadlines say nothing.
+  std::map<run_key, base::time_point> mUnansweredStarts;
+  /// Calls without an answer, and their number at the sending of the last run-list call that has
+  /// shown the registered incarnation. While they differ, a call may reach another incarnation.
+  std::uint64_t mDoubts = 0;
+  std::uint64_t mConfirmedDoubts = 0;
+  /// Incarnation that has answered and has not registered; 0 if there is none.
+  std::int64_t mUnknownIncarnationStart = 0;
   /// Starts that never took effect, and the first report with that result; 0 before the first. They
   /// are reported until one of the reports has been answered.
   std::map<run_key, std::uint64_t> mExpiredStarts;
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -29,6 +29,8 @@
   {
     /// Orders get no answer and are carried out after this delay.
     base::milliseconds mOrderDelay{ 0 };
+    /// The next incarnation carries out the delayed orders of the one that has crashed.
+    bool mOrdersOutliveCrash = false;
     bool mFailsAll = false;
     /// Runs of this job crash the worker once they have run for mCrashDelay.
     std::string mDeadlyJob{};
@@ -180,6 +182,8 @@
   std::size_t mStartCalls = 0;
   std::size_t mLateRefusals = 0;
   std::size_t mTicketRefusals = 0;
+  /// Calls that acknowledge ends which this incarnation has not listed.
+  std::size_t mUnknownAcknowledgements = 0;
 
 private:
   /// Members of a gang wait this long for the others.
@@ -389,7 +393,7 @@
       co_await Wait(mFaults.mIsUnresponsive ? base::milliseconds{ 60'000 } : delay);
       auto const isAddressed = aRequest.mHeaders.Value("X-Expect-Instance") == mId;
       if (!mFaults.mIsUnresponsive && !mFaults.mIsDown && isAddressed &&
-          incarnationStart == mIncarnationStart) {
+          (mFaults.mOrdersOutliveCrash || incarnationStart == mIncarnationStart)) {
         co_await mRouter.Handle(std::move(aRequest));
       }
       co_return lost;
@@ -504,6 +508,7 @@
     NoteLapse();
     mDeadline = std::max(mDeadline, aBody.value("deadline_ms", std::int64_t{ 0 }));
     auto const acknowledged = aBody.value("ack_cursor", std::int64_t{ 0 });
+    mUnknownAcknowledgements += acknowledged >= mNextEnd ? 1 : 0;
     std::erase_if(mEnds, [&](end const& aEnd) {
       if (aEnd.mNumber > acknowledged) {
         return false;
--- /dev/null
+++ b/source/platform/tests/reborn_worker_test.cpp
@@ -0,0 +1,214 @@
+#include "platform/tests/test_cluster.h"
+
+namespace rattanpond::platform {
+
+using base::milliseconds;
+
+namespace {
+
+/// Stopped runs continue for about the longest time that the users' site files allow.
+constexpr milliseconds kStopTime{ 380 };
+
+/// A cluster one worker of which crashes and starts again under its identifier.
+struct reborn_cluster : test_cluster
+{
+  explicit reborn_cluster(milliseconds aWork, int aSides = 2)
+    : test_cluster{ 2, aSides }
+  {
+    for (auto const& side : mSides) {
+      side->mWorker.mWork = aWork;
+      side->mWorker.mFaults.mStopGrace = kStopTime;
+    }
+    BOOST_REQUIRE(RunUntil([&] { return IsReady(); }));
+  }
+
+  test_side& ChosenSide() { return *mSides[mChosen]; }
+  fake_worker& Chosen() { return ChosenSide().mWorker; }
+
+  /// Chooses the worker that has received the most starts, which the next ones go to as well.
+  void ChooseBusiest()
+  {
+    auto const busiest = std::ranges::max_element(
+      mSides, {}, [](auto const& aSide) { return aSide->mWorker.mStartCalls; });
+    mChosen = static_cast<std::size_t>(busiest - mSides.begin());
+  }
+
+  /// Whether the scheduler can start a task on each worker.
+  bool IsReady()
+  {
+    return std::ranges::all_of(
+      mSides, [](auto const& aSide) { return aSide->Agent().Dump().at("state") == "ready"; });
+  }
+
+  void Submit(int aJob, int aAccelerators = 1)
+  {
+    mPaths.push_back("/u/" + JobId(aJob));
+    BOOST_TEST(Call(Standby(), "POST", mPaths.back(), JobBody(1, aAccelerators)) == 200U);
+  }
+
+  /// Orders to all workers are delayed until the chosen one starts again.
+  void DelayOrders(milliseconds aDelay)
+  {
+    for (auto const& side : mSides) {
+      side->mWorker.mFaults.mOrderDelay = aDelay;
+      side->mWorker.mFaults.mOrdersOutliveCrash = true;
+    }
+  }
+
+  /// The next incarnation has no room, so that whatever starts again starts elsewhere.
+  void Rebirth()
+  {
+    Chosen().Crash();
+    Chosen().mAccelerators = 0;
+    for (auto const& side : mSides) {
+      side->mWorker.mFaults.mOrderDelay = milliseconds{ 0 };
+    }
+    ChosenSide().SendHeartbeat();
+  }
+
+  /// Chooses the worker that the first start is sent to.
+  void AwaitStartCall()
+  {
+    BOOST_REQUIRE(RunUntil([&] {
+      ChooseBusiest();
+      return Chosen().mStartCalls > 0;
+    }));
+  }
+
+  void CheckDone()
+  {
+    for (auto const& path : mPaths) {
+      BOOST_TEST(ReachesState(path, "done"));
+    }
+    RunFor(milliseconds{ 300 });
+    BOOST_TEST(mRecorder.ActiveRuns() == 0U);
+    RequireNoFaults(*this);
+  }
+
+  std::vector<std::string> mPaths;
+  std::size_t mChosen = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(reborn_worker_test)
+
+// Guards against two runs at once: a worker crashed, was back under its identifier before its next
+// heartbeat, and had runs that were ordered meanwhile; they started again elsewhere.
+BOOST_AUTO_TEST_CASE(a_start_that_reaches_the_next_incarnation_runs_once)
+{
+  for (auto const heartbeatAfter : { milliseconds{ 1000 }, milliseconds{ 1400 } }) {
+    reborn_cluster cluster{ milliseconds{ 1000 } };
+    auto job = 1;
+    auto const submitFor = [&](milliseconds aTime) {
+      for (auto const until = base::Now() + aTime; base::Now() < until; ++job) {
+        cluster.Submit(job, 0);
+        cluster.RunFor(milliseconds{ 20 });
+      }
+    };
+    submitFor(milliseconds{ 200 });
+    cluster.ChooseBusiest();
+    cluster.ChosenSide().mSendsHeartbeats = false;
+    cluster.Chosen().Crash();
+    submitFor(heartbeatAfter);
+    cluster.ChosenSide().mSendsHeartbeats = true;
+    cluster.CheckDone();
+  }
+}
+
+// Guards against two runs at once: a start without an answer is carried out by the next
+// incarnation, on whose clock its deadline is far ahead.
+BOOST_AUTO_TEST_CASE(a_late_start_on_the_next_incarnation_runs_once)
+{
+  reborn_cluster cluster{ milliseconds{ 2000 } };
+  cluster.DelayOrders(milliseconds{ 900 });
+  for (int job = 1; job <= 4; ++job) {
+    cluster.Submit(job);
+  }
+  cluster.AwaitStartCall();
+  cluster.RunFor(milliseconds{ 200 });
+  cluster.Rebirth();
+  cluster.CheckDone();
+}
+
+// Guards against the same after a change of the scheduler, which knows of the start from the store
+// only, and after a restart of the side, which remembers no call.
+BOOST_AUTO_TEST_CASE(a_late_start_is_remembered_by_other_processes)
+{
+  for (auto const isSideRestarted : { false, true }) {
+    reborn_cluster cluster{ milliseconds{ 6000 } };
+    cluster.DelayOrders(milliseconds{ 4500 });
+    cluster.Submit(1);
+    cluster.Submit(2);
+    cluster.AwaitStartCall();
+    if (isSideRestarted) {
+      cluster.ChosenSide().StartAgent(cluster.mStore);
+    } else {
+      cluster.RestartFront(cluster.Holder() == cluster.mFronts[0].get() ? 0U : 1U);
+      BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+    }
+    cluster.Rebirth();
+    cluster.CheckDone();
+  }
+}
+
+// Guards against two runs at once: the worker crashes a second time before the late start reaches
+// it, and has forgotten the stop that the incarnation between has answered.
+BOOST_AUTO_TEST_CASE(a_late_start_does_not_outlive_two_crashes)
+{
+  reborn_cluster cluster{ milliseconds{ 3000 } };
+  cluster.DelayOrders(milliseconds{ 2000 });
+  cluster.Submit(1);
+  cluster.Submit(2);
+  cluster.AwaitStartCall();
+  cluster.RunFor(milliseconds{ 200 });
+  cluster.Rebirth();
+  cluster.RunFor(milliseconds{ 500 });
+  cluster.Rebirth();
+  cluster.CheckDone();
+}
+
+// Guards against a success that is forgotten: the next incarnation drops the ends that are
+// acknowledged to its predecessor, and the task runs again.
+BOOST_AUTO_TEST_CASE(the_next_incarnation_receives_no_acknowledgement_of_the_former_one)
+{
+  reborn_cluster cluster{ milliseconds{ 20 }, 1 };
+  for (int job = 1; job <= 20; ++job) {
+    cluster.Submit(job);
+  }
+  for (auto const& path : cluster.mPaths) {
+    BOOST_TEST(cluster.ReachesState(path, "done"));
+  }
+  cluster.ChosenSide().mSendsHeartbeats = false;
+  cluster.Chosen().Crash();
+  auto job = 21;
+  for (auto const until = base::Now() + milliseconds{ 1000 }; base::Now() < until; ++job) {
+    cluster.Submit(job);
+    cluster.RunFor(milliseconds{ 20 });
+  }
+  BOOST_TEST(cluster.Chosen().mUnknownAcknowledgements == 0U);
+  cluster.ChosenSide().mSendsHeartbeats = true;
+  cluster.CheckDone();
+}
+
+// Guards against a long wait after a crash: a run whose start is not in doubt ends with its worker.
+BOOST_AUTO_TEST_CASE(a_run_without_an_open_start_does_not_wait_for_the_next_incarnation)
+{
+  reborn_cluster cluster{ milliseconds{ 3000 } };
+  cluster.Submit(1);
+  auto const task = JobId(1) + ".0.0.0";
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.Starts(task) == 1; }));
+  cluster.RunFor(milliseconds{ 300 });
+  auto& side = *cluster.mSides[cluster.Chosen().mStarted > 0 ? 0 : 1];
+  side.mWorker.Crash();
+  // The next incarnation registers, and answers nothing else.
+  side.SendHeartbeat();
+  side.mWorker.mFaults.mIsUnresponsive = true;
+  BOOST_TEST(
+    cluster.RunUntil([&] { return cluster.mRecorder.Starts(task) == 2; }, milliseconds{ 1000 }));
+  RequireNoFaults(cluster);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::platform
