--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -297,7 +297,9 @@
 void side_agent::StopUnansweredStarts()
 {
   auto const now = base::Now();
-  for (auto const& [run, sentAt] : mUnansweredStarts) {
+  for (auto const& entry : mUnansweredStarts) {
+    auto const& run = entry.first;
+    auto const sentAt = entry.second;
     auto const isListed = std::ranges::any_of(mLists.mRunning, [&](auto const& aListed) {
       return aListed.mTask == run.first && aListed.mRun == run.second;
     });
