Dispatch: Store large jobs in parts, and set aside what the store rejects

Cause: the state of a job was one row, which outgrew the store's limit, and a call that the store never takes was repeated for ever while nothing else was stored. Bounds by bytes were nowhere.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -59,7 +59,7 @@
   transaction.mConditions.push_back({ kDispatchTable, kJobPrefix + aId, 0 });
   transaction.mConditions.push_back(
     { platform::kOperatorTable, platform::kConfigurationKey, aConfigurationRow });
-  transaction.mChanges.push_back({ kDispatchTable, kJobPrefix + aId, base::Encode(aJob).dump() });
+  transaction.mChanges.push_back({ kDispatchTable, kJobPrefix + aId, EncodeDescription(aJob) });
   return transaction;
 }
 
@@ -263,6 +263,16 @@
   co_return co_await Cancel(std::move(aRequest), std::move(call));
 }
 
+http_response caller_api::TooLarge(std::string const& aJob, std::size_t aBytes) const
+{
+  base::Log("caller")->info("submit job={} status=400 reason=\"larger than a row of the store\" "
+                            "bytes={} limit={}",
+                            aJob, aBytes, mOptions.mSettings.mMaximumRowBytes);
+  return Plain(400, "the job takes " + std::to_string(aBytes) + " bytes, more than the " +
+                      std::to_string(mOptions.mSettings.mMaximumRowBytes) +
+                      " that the store takes for one job");
+}
+
 awaitable<http_response> caller_api::Submit(http_request aRequest, admitted_call aCall)
 {
   auto const id = aCall.mPathRemainder;
@@ -294,6 +304,10 @@
     job.mWorkspace = aCall.mWorkspace == nullptr ? "" : aCall.mWorkspace->mName;
     job.mAcceptedWallMs = base::WallClockMilliseconds();
     auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow);
+    auto const bytes = transaction.mChanges.front().mValue->size();
+    if (bytes > mOptions.mSettings.mMaximumRowBytes) {
+      co_return TooLarge(id, bytes);
+    }
     auto const timeout = std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
     auto const sentAt = base::Now();
     auto const result = co_await mOptions.mStore.Commit(std::move(transaction), timeout);
@@ -324,6 +338,10 @@
         .Record(std::chrono::duration<double>(took).count());
       co_return Plain(200, "accepted");
     }
+    if (result.mOutcome == commit_outcome::rejected) {
+      // Earlier attempts were the same, so none of them can take effect.
+      co_return TooLarge(id, bytes);
+    }
     isOutcomeUnknown = isOutcomeUnknown || result.mOutcome == commit_outcome::unknown;
     auto const isLastAttempt =
       base::Now() + kRetryDelay >= deadline || !mOptions.mReplica.IsStoreAvailable();
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -56,6 +56,8 @@
   /// Whether callers of this front, or of the front that forwards the request, may have seen a
   /// newer configuration than this front holds.
   bool IsConfigurationBehind(net::http_request const& aRequest) const;
+  /// The refusal of a job that the store does not take; it never runs.
+  net::http_response TooLarge(std::string const& aJob, std::size_t aBytes) const;
   boost::asio::awaitable<net::http_response> Submit(net::http_request aRequest,
                                                     admitted_call aCall);
   boost::asio::awaitable<net::http_response> Cancel(net::http_request aRequest,
--- a/source/dispatch/job.cpp
+++ b/source/dispatch/job.cpp
@@ -44,6 +44,20 @@
   return parsed;
 }
 
+std::string EncodeDescription(job_description const& aJob)
+{
+  auto encoded = base::Encode(aJob);
+  auto const defaults = base::Encode(job_step{});
+  for (auto& step : encoded["steps"]) {
+    for (auto const& [name, value] : defaults.items()) {
+      if (step[name] == value) {
+        step.erase(name);
+      }
+    }
+  }
+  return encoded.dump();
+}
+
 std::string WhyImpossible(job_description const& aJob)
 {
   if (aJob.mSteps.empty() || aJob.mSteps.size() > kMaximumSteps) {
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -130,6 +130,9 @@
 inline constexpr std::size_t kMaximumSteps = 200;
 inline constexpr std::int64_t kMaximumTasks = 20'000;
 
+/// Encodes a description for the store, without the members of steps that have their defaults.
+std::string EncodeDescription(job_description const& aJob);
+
 /// Returns why a description cannot be a job, or an empty text. Rows in the store may come from
 /// other programs.
 std::string WhyImpossible(job_description const& aJob);
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/job_record.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace rattanpond::dispatch {
 
@@ -77,27 +79,106 @@
   }
 };
 
-/// Decodes either form; the first field of the plain one is a number.
-std::optional<stored_state_with_crashes> DecodeState(std::string const& aText)
+/// First field of the state of a job that is stored in parts; the second one is the phase. Earlier
+/// versions of the program cannot read this form.
+constexpr char const* kInParts = "parts";
+
+std::string EncodeInParts(job_phase aPhase)
 {
-  auto const document = base::json::parse(aText, nullptr, false);
-  if (document.is_array() && !document.empty() && document.front().is_array()) {
+  return base::json::array({ kInParts, static_cast<int>(aPhase) }).dump();
+}
+
+/// Returns the phase if the state is stored in parts.
+std::optional<job_phase> DecodeInParts(base::json const& aDocument)
+{
+  if (!aDocument.is_array() || aDocument.size() != 2 || aDocument[0] != kInParts ||
+      !aDocument[1].is_number_unsigned() ||
+      aDocument[1].get<std::uint64_t>() > static_cast<std::uint64_t>(job_phase::cancelled)) {
+    return std::nullopt;
+  }
+  return static_cast<job_phase>(aDocument[1].get<int>());
+}
+
+/// Decodes either form of a state in one row; the first field of the plain one is a number.
+std::optional<stored_state_with_crashes> DecodeState(base::json const& aDocument)
+{
+  if (aDocument.is_array() && !aDocument.empty() && aDocument.front().is_array()) {
     auto const decoded =
-      base::TryDecode<stored_state_with_crashes>(document, base::layout::positional);
+      base::TryDecode<stored_state_with_crashes>(aDocument, base::layout::positional);
     auto const* const stored = std::get_if<stored_state_with_crashes>(&decoded);
     return stored == nullptr ? std::nullopt : std::optional{ *stored };
   }
-  auto const decoded = base::TryDecode<stored_state>(document, base::layout::positional);
+  auto const decoded = base::TryDecode<stored_state>(aDocument, base::layout::positional);
   auto const* const stored = std::get_if<stored_state>(&decoded);
   return stored == nullptr ? std::nullopt
                            : std::optional{ stored_state_with_crashes{ .mState = *stored } };
 }
 
+std::uint64_t Combine(std::uint64_t aHash, std::uint64_t aValue)
+{
+  constexpr std::uint64_t kPrime = 0x100000001b3;
+  return (aHash ^ aValue) * kPrime;
+}
+
+std::uint64_t Fingerprint(task_position const& aPosition, task_state const& aState)
+{
+  std::uint64_t hash = 0xcbf29ce484222325;
+  for (std::uint64_t const value :
+       { std::uint64_t{ aPosition.mOccurrence }, std::uint64_t{ aPosition.mStep },
+         std::uint64_t{ aPosition.mIndex }, static_cast<std::uint64_t>(aState.mStatus),
+         std::uint64_t{ aState.mRun }, std::uint64_t{ std::hash<std::string>{}(aState.mWorker) },
+         static_cast<std::uint64_t>(aState.mWorkerIncarnationStart),
+         std::uint64_t{ aState.mFailures },
+         std::uint64_t{ std::hash<std::string>{}(aState.mCheckpoint) },
+         std::uint64_t{ aState.mCrashes.mCrashes }, std::uint64_t{ aState.mCrashes.mAlone } }) {
+    hash = Combine(hash, value);
+  }
+  return hash;
+}
+
 } // namespace
 
+/// The states of some tasks in their stored form.
+struct job_record::task_states
+{
+  std::vector<stored_task> mTasks{};
+  std::vector<stored_crashes> mCrashes{};
+
+  void Add(task_position const& aPosition, task_state const& aState)
+  {
+    if (aState == task_state{}) {
+      return;
+    }
+    mTasks.push_back({ .mOccurrence = aPosition.mOccurrence,
+                       .mStep = aPosition.mStep,
+                       .mIndex = aPosition.mIndex,
+                       .mStatus = static_cast<std::uint32_t>(aState.mStatus),
+                       .mRun = aState.mRun,
+                       .mWorker = aState.mWorker,
+                       .mWorkerIncarnationStart = aState.mWorkerIncarnationStart,
+                       .mFailures = aState.mFailures,
+                       .mCheckpoint = aState.mCheckpoint });
+    if (aState.mCrashes != crash_count{}) {
+      mCrashes.push_back({ .mOccurrence = aPosition.mOccurrence,
+                           .mStep = aPosition.mStep,
+                           .mIndex = aPosition.mIndex,
+                           .mCrashes = aState.mCrashes.mCrashes,
+                           .mAlone = aState.mCrashes.mAlone });
+    }
+  }
+
+  static constexpr auto Fields()
+  {
+    return std::make_tuple(base::Field("tasks", &task_states::mTasks),
+                           base::Field("crashes", &task_states::mCrashes));
+  }
+};
+
 job_record::job_record(std::string aId, job_description aDescription)
   : mId{ std::move(aId) }
   , mDescription{ std::move(aDescription) }
+  , mParts{ mDescription }
+  , mStoredParts(mParts.Count())
   , mTasks(mDescription.Runs())
 {
   for (auto& occurrence : mTasks) {
@@ -206,64 +287,118 @@
 
 std::string job_record::EncodeState() const
 {
-  stored_state stored{ .mPhase = mPhase };
-  std::vector<stored_crashes> crashes;
+  task_states states;
   const_cast<job_record*>(this)->ForEachTask(
     [&](task_position const& aPosition, tracked_task const& aTask) {
-      auto const& state = aTask.mState;
-      if (state == task_state{}) {
-        return;
-      }
-      stored.mTasks.push_back({ .mOccurrence = aPosition.mOccurrence,
-                                .mStep = aPosition.mStep,
-                                .mIndex = aPosition.mIndex,
-                                .mStatus = static_cast<std::uint32_t>(state.mStatus),
-                                .mRun = state.mRun,
-                                .mWorker = state.mWorker,
-                                .mWorkerIncarnationStart = state.mWorkerIncarnationStart,
-                                .mFailures = state.mFailures,
-                                .mCheckpoint = state.mCheckpoint });
-      if (state.mCrashes != crash_count{}) {
-        crashes.push_back({ .mOccurrence = aPosition.mOccurrence,
-                            .mStep = aPosition.mStep,
-                            .mIndex = aPosition.mIndex,
-                            .mCrashes = state.mCrashes.mCrashes,
-                            .mAlone = state.mCrashes.mAlone });
-      }
+      states.Add(aPosition, aTask.mState);
     });
-  if (crashes.empty()) {
+  stored_state stored{ .mPhase = mPhase, .mTasks = std::move(states.mTasks) };
+  if (states.mCrashes.empty()) {
     return base::Encode(stored, base::layout::positional).dump();
   }
-  return base::Encode(
-           stored_state_with_crashes{ .mState = std::move(stored), .mCrashes = std::move(crashes) },
-           base::layout::positional)
+  return base::Encode(stored_state_with_crashes{ .mState = std::move(stored),
+                                                 .mCrashes = std::move(states.mCrashes) },
+                      base::layout::positional)
     .dump();
 }
 
+std::uint64_t job_record::FingerprintOf(std::uint32_t aPart) const
+{
+  std::uint64_t fingerprint = 0;
+  for (auto const& position : mParts.TasksOf(aPart)) {
+    if (auto const& state = Find(position)->mState; !(state == task_state{})) {
+      fingerprint = Combine(fingerprint, Fingerprint(position, state));
+    }
+  }
+  return fingerprint;
+}
+
+state_change job_record::EncodeChange(std::size_t aMaximumParts) const
+{
+  state_change change;
+  if (mParts.Count() == 0) {
+    change.mState = EncodeState();
+    return change;
+  }
+  for (std::uint32_t part = 0; part < mParts.Count(); ++part) {
+    auto const fingerprint = FingerprintOf(part);
+    if (fingerprint == mStoredParts[part].mFingerprint) {
+      continue;
+    }
+    if (change.mParts.size() == aMaximumParts) {
+      change.mOpenParts.insert(part);
+      continue;
+    }
+    task_states states;
+    for (auto const& position : mParts.TasksOf(part)) {
+      states.Add(position, Find(position)->mState);
+    }
+    change.mParts.push_back({ .mPart = part,
+                              .mExpectedVersion = mStoredParts[part].mVersion,
+                              .mFingerprint = fingerprint,
+                              .mText = base::Encode(states, base::layout::positional).dump() });
+  }
+  if (change.mOpenParts.empty()) {
+    change.mState = EncodeInParts(mPhase);
+  }
+  return change;
+}
+
+void job_record::MarkPartsStored(std::uint64_t aVersion, std::vector<part_change> const& aParts)
+{
+  for (auto const& part : aParts) {
+    mStoredParts[part.mPart] = { .mVersion = aVersion, .mFingerprint = part.mFingerprint };
+  }
+}
+
+void job_record::MarkPartsRemoved(std::vector<std::uint32_t> const& aParts)
+{
+  for (auto const part : aParts) {
+    mStoredParts[part] = {};
+  }
+}
+
+std::vector<std::uint32_t> job_record::PartsWithRows() const
+{
+  std::vector<std::uint32_t> parts;
+  for (std::uint32_t part = 0; part < mStoredParts.size(); ++part) {
+    if (mStoredParts[part].mVersion != 0) {
+      parts.push_back(part);
+    }
+  }
+  return parts;
+}
+
 void job_record::ResetState()
 {
   ForEachTask([](task_position const&, tracked_task& aTask) { aTask = {}; });
   mPhase = job_phase::queued;
   mIsTerminated = false;
+  mStoredParts.assign(mStoredParts.size(), {});
+  mPendingParts.clear();
   MarkStateStored(0, mPhase);
 }
 
-bool job_record::ApplyState(std::string const& aText, base::time_point aStoredAt)
+void job_record::ResetPart(std::uint32_t aPart)
 {
-  auto const decoded = DecodeState(aText);
-  if (!decoded) {
-    return false;
-  }
-  auto const* const stored = &decoded->mState;
-  mPhase = stored->mPhase;
-  mIsTerminated = false;
+  ApplyTasks({}, aPart, {});
+  mStoredParts[aPart] = {};
+  mPendingParts.erase(aPart);
+}
+
+void job_record::ApplyTasks(task_states const& aStates, std::optional<std::uint32_t> aPart,
+                            base::time_point aStoredAt)
+{
+  auto const isMeant = [&](task_position const& aPosition) {
+    return Find(aPosition) != nullptr && (!aPart || mParts.PartOf(aPosition) == *aPart);
+  };
   std::vector<std::pair<tracked_task*, task_state>> decodedTasks;
-  for (auto const& entry : stored->mTasks) {
-    auto* const task = Find({ entry.mOccurrence, entry.mStep, entry.mIndex });
-    if (task == nullptr || entry.mStatus > static_cast<std::uint32_t>(task_status::done)) {
+  for (auto const& entry : aStates.mTasks) {
+    task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
+    if (!isMeant(position) || entry.mStatus > static_cast<std::uint32_t>(task_status::done)) {
       continue;
     }
-    decodedTasks.emplace_back(task,
+    decodedTasks.emplace_back(Find(position),
                               task_state{ .mStatus = static_cast<task_status>(entry.mStatus),
                                           .mRun = entry.mRun,
                                           .mWorker = entry.mWorker,
@@ -276,16 +411,79 @@
       task->mRunSeenAt = aStoredAt;
     }
   }
-  ForEachTask([](task_position const&, tracked_task& aTask) { aTask.mState = {}; });
-  mStoredPhase = mPhase;
+  if (aPart) {
+    for (auto const& position : mParts.TasksOf(*aPart)) {
+      Find(position)->mState = {};
+    }
+  } else {
+    ForEachTask([](task_position const&, tracked_task& aTask) { aTask.mState = {}; });
+  }
   for (auto& [task, state] : decodedTasks) {
     task->mState = std::move(state);
   }
-  for (auto const& entry : decoded->mCrashes) {
-    if (auto* const task = Find({ entry.mOccurrence, entry.mStep, entry.mIndex })) {
-      task->mState.mCrashes = { .mCrashes = entry.mCrashes, .mAlone = entry.mAlone };
+  for (auto const& entry : aStates.mCrashes) {
+    task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
+    if (isMeant(position)) {
+      Find(position)->mState.mCrashes = { .mCrashes = entry.mCrashes, .mAlone = entry.mAlone };
     }
   }
+}
+
+bool job_record::ApplyState(std::string const& aText, base::time_point aStoredAt)
+{
+  auto const document = base::json::parse(aText, nullptr, false);
+  if (auto const phase = DecodeInParts(document); phase && mParts.Count() > 0) {
+    mPhase = *phase;
+    mStoredPhase = mPhase;
+    mIsTerminated = false;
+    if (!mIsInParts) {
+      mIsInParts = true;
+      ForEachTask([](task_position const&, tracked_task& aTask) { aTask.mState = {}; });
+      for (auto const& [part, text] : std::exchange(mPendingParts, {})) {
+        ApplyPart(part, mStoredParts[part].mVersion, text, aStoredAt);
+      }
+    }
+    return true;
+  }
+  auto decoded = DecodeState(document);
+  if (!decoded) {
+    return false;
+  }
+  mPhase = decoded->mState.mPhase;
+  mStoredPhase = mPhase;
+  mIsTerminated = false;
+  mIsInParts = false;
+  mPendingParts.clear();
+  // Rows of parts that this state has replaced are written again with the next change.
+  for (auto& part : mStoredParts) {
+    part.mFingerprint = part.mVersion == 0 ? 0 : stored_part::kUnknown;
+  }
+  ApplyTasks(
+    { .mTasks = std::move(decoded->mState.mTasks), .mCrashes = std::move(decoded->mCrashes) },
+    std::nullopt, aStoredAt);
+  return true;
+}
+
+bool job_record::ApplyPart(std::uint32_t aPart, std::uint64_t aVersion, std::string const& aText,
+                           base::time_point aStoredAt)
+{
+  if (aPart >= mParts.Count()) {
+    return false;
+  }
+  auto const decoded = base::TryDecode<task_states>(base::json::parse(aText, nullptr, false),
+                                                    base::layout::positional);
+  auto const* const states = std::get_if<task_states>(&decoded);
+  auto& stored = mStoredParts[aPart];
+  stored = { .mVersion = aVersion, .mFingerprint = stored_part::kUnknown };
+  if (states == nullptr) {
+    return false;
+  }
+  if (!mIsInParts) {
+    mPendingParts[aPart] = aText;
+    return true;
+  }
+  ApplyTasks(*states, aPart, aStoredAt);
+  stored.mFingerprint = FingerprintOf(aPart);
   return true;
 }
 
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -2,8 +2,10 @@
 
 #include "base/time.h"
 #include "dispatch/job.h"
+#include "dispatch/job_parts.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -102,6 +104,26 @@
   bool IsTerminated() const { return mIsTerminated; }
   void SetTerminated() { mIsTerminated = true; }
 
+  job_parts const& Parts() const { return mParts; }
+  /// Whether the stored state is in parts. A job with many tasks may have been stored in one row by
+  /// an earlier version of the program.
+  bool IsInParts() const { return mIsInParts; }
+  /// Encodes what the store lacks, with at most this many parts.
+  state_change EncodeChange(std::size_t aMaximumParts) const;
+  void MarkPartsStored(std::uint64_t aVersion, std::vector<part_change> const& aParts);
+  /// Records that the store has the row with the phase in the form of a job in parts, if it has
+  /// parts.
+  void MarkInParts() { mIsInParts = mParts.Count() > 0; }
+  /// Records that the parts have no rows any more.
+  void MarkPartsRemoved(std::vector<std::uint32_t> const& aParts);
+  std::vector<std::uint32_t> PartsWithRows() const;
+  /// Replaces the states of a part's tasks by stored ones, once the stored state is in parts.
+  /// Returns false if the text cannot be decoded.
+  bool ApplyPart(std::uint32_t aPart, std::uint64_t aVersion, std::string const& aText,
+                 base::time_point aStoredAt = {});
+  /// Sets the tasks of a part to waiting, as without a row.
+  void ResetPart(std::uint32_t aPart);
+
   /// Encodes the phase and the state of all tasks that differ from the initial one.
   std::string EncodeState() const;
   /// Replaces the state by a stored one; tasks that it does not contain become waiting. Returns
@@ -131,8 +153,20 @@
   base::time_point mEndedAt{};
 
 private:
+  struct task_states;
+
+  void ApplyTasks(task_states const& aStates, std::optional<std::uint32_t> aPart,
+                  base::time_point aStoredAt);
+  /// Of the states of a part that differ from the initial one.
+  std::uint64_t FingerprintOf(std::uint32_t aPart) const;
+
   std::string mId;
   job_description mDescription;
+  job_parts mParts;
+  std::vector<stored_part> mStoredParts;
+  bool mIsInParts = false;
+  /// Parts that have arrived before the row with the phase.
+  std::map<std::uint32_t, std::string> mPendingParts;
   job_phase mPhase = job_phase::queued;
   job_phase mStoredPhase = job_phase::queued;
   std::uint64_t mStateVersion = 0;
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -4,6 +4,7 @@
 #include "net/sleep.h"
 #include "platform/operator_rows.h"
 
+#include <charconv>
 #include <random>
 #include <set>
 
@@ -87,8 +88,29 @@
   return std::get<0>(std::move(decoded));
 }
 
+/// Splits "<job>/<number>".
+std::optional<std::pair<std::string, std::uint32_t>> ParsePartName(std::string const& aName)
+{
+  auto const slash = aName.find('/');
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint32_t part = 0;
+  auto const* const end = aName.data() + aName.size();
+  auto const [stopped, failure] = std::from_chars(aName.data() + slash + 1, end, part);
+  if (failure != std::errc{} || stopped != end) {
+    return std::nullopt;
+  }
+  return std::pair{ aName.substr(0, slash), part };
+}
+
 } // namespace
 
+std::string PartKey(std::string const& aJob, std::uint32_t aPart)
+{
+  return kPartPrefix + aJob + '/' + std::to_string(aPart);
+}
+
 replica::replica(options aOptions)
   : mOptions{ std::move(aOptions) }
   , mDispatchRows{ .mName = kDispatchTable, .mWait = kDispatchRowsWait }
@@ -224,6 +246,12 @@
   for (auto& [id, job] : mJobs) {
     if (!present.contains(kStatePrefix + id)) {
       job->ResetState();
+      continue;
+    }
+    for (std::uint32_t part = 0; job->IsInParts() && part < job->Parts().Count(); ++part) {
+      if (!present.contains(PartKey(id, part))) {
+        job->ResetPart(part);
+      }
     }
   }
 }
@@ -231,7 +259,9 @@
 void replica::ApplyDispatchRow(store_row const& aRow)
 {
   auto& known = mVersions[{ aRow.mTable, aRow.mKey }];
-  if (auto const id = SuffixAfter(aRow.mKey, kStatePrefix)) {
+  auto const id = SuffixAfter(aRow.mKey, kStatePrefix);
+  auto const part = SuffixAfter(aRow.mKey, kPartPrefix);
+  if (id || part) {
     // The states that the writer holds are newer than the stored ones.
     if (mOptions.mIsWriter()) {
       return;
@@ -240,7 +270,11 @@
       return;
     }
     known = aRow.mVersion;
-    ApplyState(*id, aRow);
+    if (id) {
+      ApplyState(*id, aRow);
+    } else {
+      ApplyPart(*part, aRow);
+    }
     return;
   }
   if (aRow.mVersion <= known) {
@@ -287,6 +321,11 @@
     return;
   }
   AddJob(aId, std::move(*description));
+  if (auto const parts = mPartsWithoutJob.extract(aId)) {
+    for (auto const& [name, row] : parts.mapped()) {
+      ApplyPart(name, row);
+    }
+  }
   if (auto const waitingState = mStatesWithoutJob.find(aId);
       waitingState != mStatesWithoutJob.end()) {
     auto const row = waitingState->second;
@@ -324,6 +363,30 @@
   job->MarkStateStored(aRow.mVersion, job->Phase());
 }
 
+void replica::ApplyPart(std::string const& aName, store_row const& aRow)
+{
+  auto const name = ParsePartName(aName);
+  if (!name) {
+    base::Log("replica")->warn("part-unreadable key={} version={}", aRow.mKey, aRow.mVersion);
+    return;
+  }
+  auto const& [id, part] = *name;
+  auto* const job = FindJob(id);
+  if (aRow.mIsDeleted) {
+    // Parts are removed after the end of their job, and with its other rows.
+    mPartsWithoutJob.erase(id);
+    return;
+  }
+  if (job == nullptr) {
+    mPartsWithoutJob[id][aName] = aRow;
+    return;
+  }
+  if (!job->ApplyPart(part, aRow.mVersion, aRow.mValue,
+                      mIsFollowing ? base::Now() : base::time_point{})) {
+    base::Log("replica")->warn("part-unreadable key={} version={}", aRow.mKey, aRow.mVersion);
+  }
+}
+
 void replica::ApplyTerm(store_row const& aRow)
 {
   auto term = DecodeValue<term_record>(aRow);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -24,10 +24,14 @@
 inline constexpr char const* kSilentSidesKey = "silent-sides";
 inline constexpr char const* kJobPrefix = "job/";
 inline constexpr char const* kStatePrefix = "run/";
+/// The states of a job's tasks where they are stored in parts: "part/<job>/<number>".
+inline constexpr char const* kPartPrefix = "part/";
 inline constexpr char const* kCancellationPrefix = "stop/";
 inline constexpr char const* kSidePrefix = "side/";
 inline constexpr char const* kFrontPrefix = "front/";
 
+std::string PartKey(std::string const& aJob, std::uint32_t aPart);
+
 /// Row of the scheduler term: identifies the process that holds it.
 struct term_record
 {
@@ -158,6 +162,7 @@
   void ApplyOperatorRow(platform::store_row const& aRow);
   void ApplyJob(std::string const& aId, platform::store_row const& aRow);
   void ApplyState(std::string const& aId, platform::store_row const& aRow);
+  void ApplyPart(std::string const& aName, platform::store_row const& aRow);
   void ApplyTerm(platform::store_row const& aRow);
   void ApplyTermHeartbeat(platform::store_row const& aRow);
   static void ApplyAddress(address_map& aAddresses, std::string const& aNode,
@@ -176,6 +181,8 @@
   std::map<std::string, std::unique_ptr<job_record>> mJobs;
   /// State rows that arrived before the row of their job.
   std::map<std::string, platform::store_row> mStatesWithoutJob;
+  /// The same for parts, by job and row.
+  std::map<std::string, std::map<std::string, platform::store_row>> mPartsWithoutJob;
   std::map<std::string, std::uint64_t> mCancellations;
   address_map mSides;
   address_map mFronts;
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -151,6 +151,8 @@
   mDirty.Clear();
   mPlanned.clear();
   mBatch.reset();
+  mSmallBatches = 0;
+  mSetAside.clear();
   mEndedJobs.clear();
   if (!mOptions.mReplica.RunTimes().empty() && !mRunTimes.Decode(mOptions.mReplica.RunTimes())) {
     base::Log("scheduler")
@@ -249,6 +251,7 @@
     WatchOverdueStarts(now);
     SendPendingStops();
     RemoveEndedJobs(now);
+    RetrySetAsideJobs(now);
     SchedulePlanning();
   }
 }
@@ -361,31 +364,53 @@
   constexpr std::size_t kMaximumChanges = 90;
   platform::row_transaction transaction;
   std::vector<std::string> jobs;
+  std::map<std::string, std::vector<std::uint32_t>> removedParts;
   for (auto& [id, removableSince] : mEndedJobs) {
-    if (removableSince + retention > aNow ||
-        transaction.mChanges.size() + kRowsPerJob > kMaximumChanges) {
+    auto const room = kMaximumChanges - transaction.mChanges.size();
+    if (removableSince + retention > aNow || room < kRowsPerJob) {
+      continue;
+    }
+    // Removed again after a failure of this attempt.
+    removableSince = aNow - retention + kRemovalRetryDelay;
+    auto const* const job = mOptions.mReplica.FindJob(id);
+    auto parts = job == nullptr ? std::vector<std::uint32_t>{} : job->PartsWithRows();
+    auto const isWhole = parts.size() + kRowsPerJob <= room;
+    if (!isWhole) {
+      // The other rows follow with the last parts.
+      parts.resize(std::min(parts.size(), room));
+    }
+    for (auto const part : parts) {
+      transaction.mChanges.push_back({ kDispatchTable, PartKey(id, part), std::nullopt });
+    }
+    if (!parts.empty()) {
+      removedParts[id] = std::move(parts);
+    }
+    if (!isWhole) {
       continue;
     }
     for (auto const* const prefix : { kJobPrefix, kStatePrefix, kCancellationPrefix }) {
       transaction.mChanges.push_back({ kDispatchTable, prefix + id, std::nullopt });
     }
     jobs.push_back(id);
-    // Removed again after a failure of this attempt.
-    removableSince = aNow - retention + kRemovalRetryDelay;
   }
-  if (jobs.empty()) {
+  if (transaction.mChanges.empty()) {
     return;
   }
   transaction.mConditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
   asio::co_spawn(
     mOptions.mContext,
-    [this, term = mTerm, transaction = std::move(transaction),
-     jobs = std::move(jobs)]() mutable -> awaitable<void> {
+    [this, term = mTerm, transaction = std::move(transaction), jobs = std::move(jobs),
+     removedParts = std::move(removedParts)]() mutable -> awaitable<void> {
       auto const result =
         co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
       base::Log("scheduler")
         ->info("retention jobs={} outcome={}", jobs.size(), static_cast<int>(result.mOutcome));
       if (result.mOutcome == commit_outcome::committed && term == mTerm) {
+        for (auto const& [id, parts] : removedParts) {
+          if (auto* const job = mOptions.mReplica.FindJob(id)) {
+            job->MarkPartsRemoved(parts);
+          }
+        }
         for (auto const& id : jobs) {
           mEndedJobs.erase(id);
         }
@@ -430,9 +455,13 @@
                         { "used_share", start.mReport.UsedShare() },
                         { "workers", workers } });
   }
-  return { { "holder", mIsHolder },         { "term", mTerm },
-           { "dirty_jobs", mDirty.size() }, { "committing", mBatch.has_value() },
-           { "sides", sessions },           { "overdue_starts", overdue } };
+  return { { "holder", mIsHolder },
+           { "term", mTerm },
+           { "dirty_jobs", mDirty.size() },
+           { "committing", mBatch.has_value() },
+           { "set_aside_jobs", mSetAside.size() },
+           { "sides", sessions },
+           { "overdue_starts", overdue } };
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -109,11 +109,29 @@
     wait_report mReport;
   };
 
+  /// What a transaction stores of a job.
+  struct batched_job
+  {
+    std::string mId;
+    job_phase mPhase = job_phase::queued;
+    std::vector<part_change> mParts;
+    /// Whether the store has the whole state with it.
+    bool mIsComplete = true;
+  };
+
+  /// How much a transaction may contain.
+  struct batch_limits
+  {
+    std::size_t mJobs = 0;
+    /// Of each job.
+    std::size_t mParts = 0;
+  };
+
   struct batch
   {
     platform::row_transaction mTransaction;
-    /// The jobs of the transaction, each with the phase that it stores.
-    std::vector<std::pair<std::string, job_phase>> mJobs;
+    std::vector<batched_job> mJobs;
+    batch_limits mLimits;
     std::vector<planned_start> mStarts;
     bool mHasRunTimes = false;
     /// By node: the highest run end that was recorded before the transaction.
@@ -246,6 +264,16 @@
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
+  /// The store will never take the batch: its jobs are stored one by one, and one that cannot be
+  /// stored even so is set aside, so that it does not hold up the others.
+  void BatchRejected();
+  /// Puts the jobs of a batch that was not stored back into the queue of changes.
+  void ReturnBatch(batch const& aBatch);
+  /// Appends what the store lacks of a job. Returns the bytes added.
+  std::size_t AddToBatch(batch& aBatch, job_record& aJob);
+  bool IsSetAside(std::string const& aJob) const { return mSetAside.contains(aJob); }
+  /// Tries again to store the jobs that were set aside.
+  void RetrySetAsideJobs(base::time_point aNow);
   void SendStart(planned_start const& aStart);
 
   /// Tasks that wait although there is room for them.
@@ -276,6 +304,10 @@
   /// Workers that waiting groups have claimed in the last decision.
   std::vector<placement_claim> mClaims;
   std::optional<batch> mBatch;
+  /// Number of the next transactions that contain one job and one part of it only.
+  std::size_t mSmallBatches = 0;
+  /// Jobs whose state the store does not take, and when to try again.
+  std::map<std::string, base::time_point> mSetAside;
   failure_history mFailures;
   /// Empty if the settings name no advice service.
   std::unique_ptr<platform::advice_client> mAdvice;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -23,6 +23,14 @@
 /// Maximum number of jobs per transaction, which has at most 100 entries: each job adds one change
 /// and up to three conditions.
 constexpr std::size_t kJobsPerBatch = 18;
+/// Maximum number of parts of one job per transaction: each adds a change and a condition.
+constexpr std::size_t kPartsPerBatch = 12;
+/// Jobs are added to a transaction until its entries and bytes have reached these. A call has at
+/// most 100 entries and 1 MB, in which a value takes four thirds of its bytes.
+constexpr std::size_t kEntriesPerBatch = 62;
+constexpr std::size_t kBytesPerBatch = 250'000;
+/// Time after which a job that the store has rejected is tried again.
+constexpr milliseconds kSetAsideTime{ 5000 };
 /// Changes within this time are committed in one transaction.
 constexpr milliseconds kBatchingDelay{ 8 };
 constexpr milliseconds kCommitTimeout{ 800 };
@@ -71,39 +79,77 @@
   }
 }
 
+std::size_t scheduler::AddToBatch(batch& aBatch, job_record& aJob)
+{
+  auto const& id = aJob.Id();
+  auto& conditions = aBatch.mTransaction.mConditions;
+  auto& changes = aBatch.mTransaction.mChanges;
+  conditions.push_back({ kDispatchTable, kStatePrefix + id, aJob.StateVersion() });
+  conditions.push_back(
+    { kDispatchTable, kCancellationPrefix + id, mOptions.mReplica.CancellationVersion(id) });
+  aJob.ApplyReportedCheckpoints();
+  aJob.mCheckpointsAppliedAt = base::Now();
+  auto change = aJob.EncodeChange(aBatch.mLimits.mParts);
+  std::size_t bytes = 0;
+  // Each part has a condition of its own, so that a late repetition of this transaction cannot undo
+  // a later one.
+  for (auto const& part : change.mParts) {
+    auto const key = PartKey(id, part.mPart);
+    conditions.push_back({ kDispatchTable, key, part.mExpectedVersion });
+    changes.push_back({ kDispatchTable, key, part.mText });
+    bytes += part.mText.size();
+  }
+  if (change.mState) {
+    bytes += change.mState->size();
+    changes.push_back({ kDispatchTable, kStatePrefix + id, std::move(*change.mState) });
+  }
+  aBatch.mJobs.push_back({ .mId = id,
+                           .mPhase = aJob.Phase(),
+                           .mParts = std::move(change.mParts),
+                           .mIsComplete = change.mOpenParts.empty() });
+  // A start is ordered once the store has it, so those in parts that are left wait for these.
+  std::erase_if(mPlanned, [&](planned_start const& aPlanned) {
+    auto const isStored =
+      change.mOpenParts.empty() ||
+      (aJob.IsInParts() && !change.mOpenParts.contains(aJob.Parts().PartOf(aPlanned.mPosition)));
+    if (aPlanned.mJob != id || !isStored) {
+      return false;
+    }
+    aBatch.mStarts.push_back(aPlanned);
+    return true;
+  });
+  return bytes;
+}
+
 bool scheduler::BuildBatch()
 {
   batch built;
+  auto const isSmall = mSmallBatches > 0;
+  mSmallBatches -= isSmall ? 1 : 0;
+  built.mLimits = isSmall ? batch_limits{ .mJobs = 1, .mParts = 1 }
+                          : batch_limits{ .mJobs = kJobsPerBatch, .mParts = kPartsPerBatch };
   auto& conditions = built.mTransaction.mConditions;
+  auto const& changes = built.mTransaction.mChanges;
   conditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
-  std::set<std::string> chosen;
-  while (!mDirty.empty() && built.mJobs.size() < kJobsPerBatch) {
+  std::size_t bytes = 0;
+  while (!mDirty.empty() && built.mJobs.size() < built.mLimits.mJobs && bytes < kBytesPerBatch &&
+         conditions.size() + changes.size() < kEntriesPerBatch) {
     auto const id = mDirty.TakeOldest();
-    chosen.insert(id);
     auto* const job = mOptions.mReplica.FindJob(id);
-    if (job == nullptr) {
-      continue;
+    if (job != nullptr && !IsSetAside(id)) {
+      bytes += AddToBatch(built, *job);
     }
-    conditions.push_back({ kDispatchTable, kStatePrefix + id, job->StateVersion() });
-    conditions.push_back(
-      { kDispatchTable, kCancellationPrefix + id, mOptions.mReplica.CancellationVersion(id) });
-    job->ApplyReportedCheckpoints();
-    job->mCheckpointsAppliedAt = base::Now();
-    built.mTransaction.mChanges.push_back(
-      { kDispatchTable, kStatePrefix + id, job->EncodeState() });
-    built.mJobs.emplace_back(id, job->Phase());
   }
-  std::set<std::string> domains;
-  for (auto const& planned : mPlanned) {
-    if (chosen.contains(planned.mJob)) {
-      built.mStarts.push_back(planned);
-      domains.insert(mSessions.contains(planned.mNode)
-                       ? mSessions.at(planned.mNode)->mReport.mDomain
-                       : std::string{});
+  for (auto const& job : built.mJobs) {
+    if (!job.mIsComplete) {
+      mDirty.Insert(job.mId);
     }
   }
-  std::erase_if(mPlanned,
-                [&](planned_start const& aPlanned) { return chosen.contains(aPlanned.mJob); });
+  std::set<std::string> domains;
+  for (auto const& planned : built.mStarts) {
+    domains.insert(mSessions.contains(planned.mNode) ? mSessions.at(planned.mNode)->mReport.mDomain
+                                                     : std::string{});
+  }
   if (!built.mStarts.empty()) {
     conditions.push_back({ platform::kOperatorTable, platform::kConfigurationKey,
                            mOptions.mReplica.ConfigurationRowVersion() });
@@ -118,9 +164,15 @@
     built.mEnds[node] = session->mEnds.Recorded();
   }
   auto const now = base::Now();
-  if (mHasNewRunTimes && now - mRunTimesStoredAt > kRunTimesInterval) {
-    built.mTransaction.mChanges.push_back({ kDispatchTable, kRunTimesKey, mRunTimes.Encode() });
-    built.mHasRunTimes = true;
+  if (!isSmall && mHasNewRunTimes && now - mRunTimesStoredAt > kRunTimesInterval) {
+    // The observations only improve estimates, so a row that has outgrown the store is left out.
+    if (auto text = mRunTimes.Encode(); text.size() <= mOptions.mSettings.mMaximumRowBytes) {
+      built.mTransaction.mChanges.push_back({ kDispatchTable, kRunTimesKey, std::move(text) });
+      built.mHasRunTimes = true;
+    } else {
+      base::Log("scheduler")->warn("run-times-too-large bytes={}", text.size());
+      mRunTimesStoredAt = now;
+    }
     mHasNewRunTimes = false;
   }
   mBatch = std::move(built);
@@ -144,6 +196,9 @@
     case commit_outcome::conflict:
       BatchConflicted(result.mCurrent);
       break;
+    case commit_outcome::rejected:
+      BatchRejected();
+      break;
     case commit_outcome::refused:
     case commit_outcome::unknown:
       // Retry the same transaction: its conditions keep it from taking effect twice.
@@ -165,18 +220,22 @@
   if (done.mHasRunTimes) {
     mRunTimesStoredAt = base::Now();
   }
-  for (auto const& [id, phase] : done.mJobs) {
-    if (auto* const job = mOptions.mReplica.FindJob(id)) {
-      job->MarkStateStored(aVersion, phase);
+  std::set<std::string> jobs;
+  for (auto const& stored : done.mJobs) {
+    auto* const job = mOptions.mReplica.FindJob(stored.mId);
+    if (job == nullptr) {
+      continue;
+    }
+    job->MarkPartsStored(aVersion, stored.mParts);
+    if (stored.mIsComplete) {
+      job->MarkStateStored(aVersion, stored.mPhase);
+      job->MarkInParts();
+      jobs.insert(stored.mId);
     }
   }
   for (auto const& start : done.mStarts) {
     SendStart(start);
   }
-  std::set<std::string> jobs;
-  for (auto const& [id, phase] : done.mJobs) {
-    jobs.insert(id);
-  }
   for (auto const& [node, session] : mSessions) {
     auto const before = session->mEnds.Stored();
     if (auto const found = done.mEnds.find(node); found != done.mEnds.end()) {
@@ -194,8 +253,9 @@
 void scheduler::MarkEndsOfUnchangedJobs(session& aSession)
 {
   if (!mBatch) {
-    aSession.mEnds.MarkStored(aSession.mEnds.Recorded(),
-                              [&](std::string const& aJob) { return !mDirty.Contains(aJob); });
+    aSession.mEnds.MarkStored(aSession.mEnds.Recorded(), [&](std::string const& aJob) {
+      return !mDirty.Contains(aJob) && !IsSetAside(aJob);
+    });
   }
 }
 
@@ -208,25 +268,42 @@
   }
   auto const conflicted = std::move(*mBatch);
   mBatch.reset();
-  for (auto const& row : aCurrent) {
-    if (row.mTable == kDispatchTable && row.mKey.starts_with(kStatePrefix)) {
-      auto* const job =
-        mOptions.mReplica.FindJob(row.mKey.substr(std::string{ kStatePrefix }.size()));
-      if (job != nullptr && job->StateVersion() != row.mVersion) {
-        base::Log("scheduler")
-          ->error("state-of-other-writer job={} version={} held={}", job->Id(), row.mVersion,
-                  job->StateVersion());
-        mOptions.mReplica.Apply(aCurrent);
-        StepDown("another process wrote the state of a job");
-        return;
+  for (auto const& batched : conflicted.mJobs) {
+    auto const* const job = mOptions.mReplica.FindJob(batched.mId);
+    if (job == nullptr) {
+      continue;
+    }
+    for (auto const& row : aCurrent) {
+      auto const isState = row.mKey == kStatePrefix + batched.mId;
+      auto const part = std::ranges::find_if(batched.mParts, [&](part_change const& aPart) {
+        return row.mKey == PartKey(batched.mId, aPart.mPart);
+      });
+      auto const expected = isState                        ? job->StateVersion()
+                            : part != batched.mParts.end() ? part->mExpectedVersion
+                                                           : row.mVersion;
+      if (row.mTable != kDispatchTable || expected == row.mVersion) {
+        continue;
       }
+      base::Log("scheduler")
+        ->error("state-of-other-writer job={} key={} version={} held={}", batched.mId, row.mKey,
+                row.mVersion, expected);
+      mOptions.mReplica.Apply(aCurrent);
+      StepDown("another process wrote the state of a job");
+      return;
     }
   }
   base::Log("scheduler")
     ->info("commit-conflict jobs={} starts={}", conflicted.mJobs.size(), conflicted.mStarts.size());
+  ReturnBatch(conflicted);
+  mOptions.mReplica.Apply(aCurrent);
+  ReplicaChanged();
+}
+
+void scheduler::ReturnBatch(batch const& aBatch)
+{
   // No start has been ordered yet. The tasks return to waiting and are planned again with the
   // current state.
-  for (auto const& start : conflicted.mStarts) {
+  for (auto const& start : aBatch.mStarts) {
     auto* const job = mOptions.mReplica.FindJob(start.mJob);
     auto* const task = job == nullptr ? nullptr : job->Find(start.mPosition);
     if (task != nullptr && task->mState.mStatus == task_status::active &&
@@ -234,12 +311,49 @@
       task->mState.mStatus = task_status::waiting;
     }
   }
-  for (auto const& [id, phase] : conflicted.mJobs) {
-    mDirty.Insert(id);
+  for (auto const& job : aBatch.mJobs) {
+    mDirty.Insert(job.mId);
   }
-  mHasNewRunTimes = mHasNewRunTimes || conflicted.mHasRunTimes;
-  mOptions.mReplica.Apply(aCurrent);
-  ReplicaChanged();
+  mHasNewRunTimes = mHasNewRunTimes || aBatch.mHasRunTimes;
+}
+
+void scheduler::BatchRejected()
+{
+  auto const rejected = std::move(*mBatch);
+  mBatch.reset();
+  std::size_t bytes = 0;
+  for (auto const& change : rejected.mTransaction.mChanges) {
+    bytes += change.mValue ? change.mValue->size() : 0;
+  }
+  mOptions.mMetrics.Counter("rattanpond_commits_rejected").Add();
+  base::Log("scheduler")
+    ->error("commit-rejected jobs={} first={} changes={} bytes={} run_times={}",
+            rejected.mJobs.size(), rejected.mJobs.front().mId,
+            rejected.mTransaction.mChanges.size(), bytes, rejected.mHasRunTimes);
+  auto const now = base::Now();
+  if (rejected.mHasRunTimes) {
+    mRunTimesStoredAt = now;
+  }
+  if (rejected.mLimits.mJobs > 1) {
+    mSmallBatches = std::max(mSmallBatches, rejected.mJobs.size());
+  } else {
+    mSetAside[rejected.mJobs.front().mId] = now + kSetAsideTime;
+  }
+  ReturnBatch(rejected);
+  SchedulePlanning();
+}
+
+void scheduler::RetrySetAsideJobs(base::time_point aNow)
+{
+  std::erase_if(mSetAside, [&](auto const& aEntry) {
+    if (aNow < aEntry.second) {
+      return false;
+    }
+    // The first transaction with the job is a small one, so that it rejects no other job with it.
+    mSmallBatches = std::max<std::size_t>(mSmallBatches, 1);
+    mDirty.Insert(aEntry.first);
+    return true;
+  });
 }
 
 void scheduler::SendStart(planned_start const& aStart)
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -257,6 +257,9 @@
 void scheduler::AddGroups(job_record& aJob, bool aIsGuaranteed, base::time_point aNow,
                           std::vector<waiting_group>& aGroups)
 {
+  if (IsSetAside(aJob.Id())) {
+    return;
+  }
   auto const& description = aJob.Description();
   auto const* const queue = QueueOf(aJob);
   auto const wallMs = base::WallClockMilliseconds();
--- a/source/platform/deployment_settings.cpp
+++ b/source/platform/deployment_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/json_reader.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// A smaller limit of the store's rows is taken for an error of the settings.
+constexpr std::int64_t kLeastRowBytes = 1024;
+
 base::result<std::optional<net::tcp::endpoint>> OptionalEndpoint(json_reader& aReader,
                                                                  char const* aName)
 {
@@ -78,6 +82,9 @@
   auto const& storeObject = ObjectOrEmpty(reader.Member("platform"));
   json_reader store{ storeObject };
   BOOST_LEAF_ASSIGN(settings.mStore, net::ParseEndpoint(store.Text("address")));
+  settings.mMaximumRowBytes = static_cast<std::size_t>(std::max<std::int64_t>(
+    kLeastRowBytes,
+    store.Integer("row_bytes", static_cast<std::int64_t>(settings.mMaximumRowBytes))));
   auto const& ports = reader.Member("internal_ports");
   if (ports.is_array() && !ports.empty() && ports[0].is_number_unsigned()) {
     settings.mInternalPort = ports[0].get<std::uint16_t>();
--- a/source/platform/deployment_settings.h
+++ b/source/platform/deployment_settings.h
@@ -27,6 +27,8 @@
   /// First of the ports reserved for links between rattanpond processes.
   std::uint16_t mInternalPort = 7000;
   std::size_t mMaximumBodyBytes = 262'144;
+  /// Largest value of a row of the store.
+  std::size_t mMaximumRowBytes = 65'536;
 
   base::milliseconds mMaximumLease{ 10'000 };
   base::milliseconds mRevocationLimit{ 5'000 };
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -147,6 +147,8 @@
     if (document.is_object()) {
       result.mCurrent = DecodeRows(document);
     }
+  } else if (response.mStatus == 400 || response.mStatus == 413) {
+    result.mOutcome = commit_outcome::rejected;
   } else {
     result.mOutcome = commit_outcome::refused;
   }
--- a/source/platform/row_store.h
+++ b/source/platform/row_store.h
@@ -51,10 +51,12 @@
   committed,
   /// A condition did not hold; nothing was written.
   conflict,
-  /// The store refused the call; nothing was written.
+  /// The store refused the call for now; nothing was written.
   refused,
   /// No answer; the transaction may take effect at any time while its conditions hold.
-  unknown
+  unknown,
+  /// The store will never take the call, e.g. as a row is too large; nothing was written.
+  rejected
 };
 
 struct commit_result
--- a/source/platform/tests/fake_row_store.h
+++ b/source/platform/tests/fake_row_store.h
@@ -44,6 +44,8 @@
     held,
     /// Answers 503 at once.
     refused,
+    /// Answers 400, as it does to a call that exceeds its limits.
+    rejected,
     /// Carries out the transaction and closes the connection without an answer.
     answer_lost
   };
@@ -90,6 +92,13 @@
     std::unique_ptr<net::http_server> mServer;
   };
 
+  /// Largest value of a row; a larger one is rejected, and so is a call over the limits below.
+  std::size_t mMaximumRowBytes = 65'536;
+  static constexpr std::size_t kMaximumEntries = 100;
+  static constexpr std::size_t kMaximumCallBytes = 1'000'000;
+  /// Calls that were rejected.
+  std::size_t mRejectedCalls = 0;
+
   explicit fake_row_store(boost::asio::io_context& aContext)
     : mContext{ aContext }
   {
@@ -134,6 +143,18 @@
     }
   }
 
+  /// Keys of a table that begin with a prefix.
+  std::vector<std::string> Keys(std::string const& aTable, std::string const& aPrefix) const
+  {
+    std::vector<std::string> keys;
+    for (auto const& entry : mRows) {
+      if (entry.first.first == aTable && entry.first.second.starts_with(aPrefix)) {
+        keys.push_back(entry.first.second);
+      }
+    }
+    return keys;
+  }
+
   /// Clients that request older changes have to read the table again.
   void DiscardHistory()
   {
@@ -242,6 +263,10 @@
     if (fault == transaction_fault::refused) {
       co_return net::JsonResponse(503, base::json::object());
     }
+    if (fault == transaction_fault::rejected) {
+      ++mRejectedCalls;
+      co_return net::JsonResponse(400, base::json::object());
+    }
     if (behavior == behavior::late || behavior == behavior::slow) {
       co_await Wait(aEndpoint.mDelay);
     }
@@ -295,7 +320,8 @@
     net::http_router router;
     router.Add("POST", "/api/rows-tx",
                [this](net::routed_request aRequest) -> boost::asio::awaitable<net::http_response> {
-                 co_return Transact(base::json::parse(aRequest.mRequest.mBody));
+                 co_return Transact(base::json::parse(aRequest.mRequest.mBody),
+                                    aRequest.mRequest.mBody.size());
                });
     router.Add("GET", "/api/rows-get",
                [this](net::routed_request aRequest) -> boost::asio::awaitable<net::http_response> {
@@ -314,8 +340,24 @@
     return { aEntry.at("table").get<std::string>(), aEntry.at("key").get<std::string>() };
   }
 
-  net::http_response Transact(base::json const& aBody)
+  /// Whether a call exceeds a limit of the store.
+  bool IsTooLarge(base::json const& aBody, std::size_t aBytes)
+  {
+    auto const entries = aBody["expect_rev"].size() + aBody["puts"].size() + aBody["remove"].size();
+    auto const hasLargeRow = std::ranges::any_of(aBody["puts"], [&](base::json const& aPut) {
+      constexpr std::size_t kPadding = 2;
+      auto const bytes = aPut["value"].get_ref<std::string const&>().size() / 4 * 3;
+      return bytes > mMaximumRowBytes + kPadding;
+    });
+    return hasLargeRow || entries > kMaximumEntries || aBytes > kMaximumCallBytes;
+  }
+
+  net::http_response Transact(base::json const& aBody, std::size_t aBytes)
   {
+    if (IsTooLarge(aBody, aBytes)) {
+      ++mRejectedCalls;
+      return net::JsonResponse(400, base::json::object());
+    }
     base::json current = base::json::array();
     bool areConditionsMet = true;
     for (auto const& condition : aBody["expect_rev"]) {
