Dispatch: Register an incarnation only once the worker's address confirms it

Cause: a heartbeat was believed, though the worker at the side's own address can be asked.

Change: a claim of a new incarnation is verified by the worker's run lists first; implausible sequence numbers are ignored; a worker that still answers has not left.

Four of the five tests of claimed_worker_test fail on the former code, all pass now. The test of settled runs in reborn_worker_test gives its next incarnation no room and drops its orders; an unresponsive one is no longer registered, which it relied on.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -44,6 +44,16 @@
 /// Time for which a start call without an answer may still be carried out. The protocol speaks of
 /// seconds.
 constexpr milliseconds kLateCallWindow{ 30'000 };
+/// Maximum number of claims that are verified at the same time.
+constexpr std::size_t kMaximumClaims = 4;
+/// Shortest time between two heartbeats of a worker, for the highest plausible sequence number, and
+/// numbers that it may skip besides.
+constexpr milliseconds kShortestHeartbeatInterval{ 50 };
+constexpr std::int64_t kSkippedHeartbeats = 20;
+/// A series of lower sequence numbers is taken for that of the worker once it has this many, and
+/// the registered number had no successor for kSequenceSilence.
+constexpr int kLowerSeries = 2;
+constexpr milliseconds kSequenceSilence{ 1000 };
 
 } // namespace
 
@@ -101,14 +111,99 @@
     return;
   }
   auto const& heartbeat = std::get<0>(parsed);
-  auto const isOlder =
-    mHeartbeat && (heartbeat.mIncarnationStart < mHeartbeat->mIncarnationStart ||
-                   (heartbeat.mIncarnationStart == mHeartbeat->mIncarnationStart &&
-                    heartbeat.mSequence <= mHeartbeat->mSequence));
-  if (isOlder || heartbeat.mDomain != mOptions.mSettings.mFailureDomain) {
+  if (heartbeat.mDomain != mOptions.mSettings.mFailureDomain) {
     return;
   }
-  ApplyHeartbeat(heartbeat);
+  auto const isRegistered = mHeartbeat && mHeartbeat->mWorker == heartbeat.mWorker &&
+                            mHeartbeat->mIncarnationStart == heartbeat.mIncarnationStart;
+  if (isRegistered) {
+    if (!IsOutOfSequence(heartbeat)) {
+      ApplyHeartbeat(heartbeat);
+    }
+    return;
+  }
+  std::pair const claim{ heartbeat.mWorker, heartbeat.mIncarnationStart };
+  if (!IsNewer(heartbeat) || mClaims.size() >= kMaximumClaims || !mClaims.insert(claim).second) {
+    return;
+  }
+  asio::co_spawn(
+    mOptions.mContext,
+    [this, heartbeat]() -> awaitable<void> {
+      co_await VerifyClaim(heartbeat);
+      mClaims.erase({ heartbeat.mWorker, heartbeat.mIncarnationStart });
+    },
+    asio::detached);
+}
+
+bool side_agent::IsNewer(platform::worker_heartbeat const& aClaim) const
+{
+  return !mHeartbeat || aClaim.mIncarnationStart > mHeartbeat->mIncarnationStart;
+}
+
+bool side_agent::IsOutOfSequence(platform::worker_heartbeat const& aHeartbeat)
+{
+  auto const since = base::Now() - mHeartbeatAt;
+  auto const sequence = aHeartbeat.mSequence;
+  if (sequence > mHeartbeat->mSequence) {
+    auto const highest =
+      mHeartbeat->mSequence + kSkippedHeartbeats + since / kShortestHeartbeatInterval;
+    if (sequence > highest) {
+      mOptions.mMetrics.Counter("rattanpond_heartbeats_disputed").Add();
+      base::Log("side")->warn("heartbeat-implausible worker={} sequence={} last={} since_ms={}",
+                              aHeartbeat.mWorker, sequence, mHeartbeat->mSequence, since.count());
+      return true;
+    }
+    mLowerHeartbeats = 0;
+    return false;
+  }
+  // Delayed heartbeats arrive between later ones. If there are none, the registered number was not
+  // the worker's.
+  mLowerHeartbeats = mLowerHeartbeats > 0 && sequence > mLowerSequence ? mLowerHeartbeats + 1 : 1;
+  mLowerSequence = sequence;
+  if (mLowerHeartbeats < kLowerSeries || since < kSequenceSilence) {
+    return true;
+  }
+  base::Log("side")->warn("heartbeat-series-replaced worker={} sequence={} last={} since_ms={}",
+                          aHeartbeat.mWorker, sequence, mHeartbeat->mSequence, since.count());
+  mLowerHeartbeats = 0;
+  return false;
+}
+
+awaitable<void> side_agent::VerifyClaim(platform::worker_heartbeat aClaim)
+{
+  // A heartbeat can come from any program. Only the worker at this side's own address shows which
+  // incarnation is there: it refuses calls for another identifier, and its run lists name its
+  // start.
+  auto const until = base::Now() + kWorkerAbsenceTimeout;
+  while (IsNewer(aClaim)) {
+    auto const answer = co_await mWorker->PollRuns(aClaim.mWorker, { .mFence = mTerm });
+    if (!IsNewer(aClaim)) {
+      break;
+    }
+    auto const isOther =
+      answer.mIsOtherIncarnation ||
+      (answer.mLists && answer.mLists->mIncarnationStart != aClaim.mIncarnationStart);
+    if (isOther) {
+      mOptions.mMetrics.Counter("rattanpond_heartbeats_disputed").Add();
+      if (mDisputedHeartbeats++ % kUnreadableLogInterval == 0) {
+        base::Log("side")->warn(
+          "heartbeat-disputed worker={} born={} service={} answered_born={} count={}",
+          aClaim.mWorker, aClaim.mIncarnationStart, aClaim.mService,
+          answer.mLists ? answer.mLists->mIncarnationStart : 0, mDisputedHeartbeats);
+      }
+      break;
+    }
+    // Without any answer, a registered worker stays: it may be the one that does not answer now. A
+    // side without a worker reports the claim, whose lease the scheduler must not take for expired.
+    if (answer.mLists || !mHeartbeat) {
+      ApplyHeartbeat(aClaim);
+      break;
+    }
+    if (base::Now() > until) {
+      break;
+    }
+    co_await net::Sleep(kPollRetryDelay);
+  }
 }
 
 void side_agent::ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat)
@@ -131,6 +226,7 @@
   mHeartbeat = aHeartbeat;
   mHeartbeatAt = base::Now();
   if (isNew) {
+    mLowerHeartbeats = 0;
     base::Log("side")->info("worker worker={} born={} service={}", aHeartbeat.mWorker,
                             aHeartbeat.mIncarnationStart, aHeartbeat.mService);
     mHasRunLists = false;
@@ -154,6 +250,7 @@
     mOrders.clear();
     mState = worker_state::absent;
     mPollTimer.cancel();
+    RequestReport();
   }
   if (hasChanged && mState != worker_state::absent) {
     mState = aHeartbeat.mState;
@@ -176,8 +273,15 @@
   asio::co_spawn(
     mOptions.mContext,
     [this, incarnationStart]() -> awaitable<void> {
-      co_await net::Sleep(kDepartureDelay);
-      if (mHeartbeat && mHeartbeat->mIncarnationStart == incarnationStart) {
+      auto const isDraining = [&] {
+        return mHeartbeat && mHeartbeat->mIncarnationStart == incarnationStart &&
+               mHeartbeat->mState == worker_state::draining;
+      };
+      // The message can come from any program, so the worker stays in use as long as it answers.
+      do {
+        co_await net::Sleep(kDepartureDelay);
+      } while (isDraining() && co_await ReadRunLists(milliseconds{ 0 }));
+      if (isDraining()) {
         base::Log("side")->info("worker-left worker={} born={}", mHeartbeat->mWorker,
                                 incarnationStart);
         mState = worker_state::gone;
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -106,6 +107,14 @@
   void HandleOrders(net::link_ptr const& aLink, side_orders aOrders);
   void AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll);
   void ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat);
+  /// Whether the heartbeat is older than the last one of the registered incarnation, or its
+  /// sequence number is too high to be its next one.
+  bool IsOutOfSequence(platform::worker_heartbeat const& aHeartbeat);
+  /// Asks the worker's address whether the incarnation of a heartbeat is there, and registers it
+  /// only then.
+  boost::asio::awaitable<void> VerifyClaim(platform::worker_heartbeat aClaim);
+  /// Whether the claim names a later incarnation than the registered one.
+  bool IsNewer(platform::worker_heartbeat const& aClaim) const;
   void RequestReport();
   void SendReport();
   std::int64_t NextDeadline() const;
@@ -171,6 +180,13 @@
   bool mMustReport = false;
   base::time_point mReportedAt{};
   std::uint64_t mUnreadableHeartbeats = 0;
+  std::uint64_t mDisputedHeartbeats = 0;
+  /// Claims that are being verified: identifier and start of the incarnation.
+  std::set<std::pair<std::string, std::int64_t>> mClaims;
+  /// Last heartbeat of the registered incarnation with a sequence number below the registered one,
+  /// and how many such numbers have risen in a row.
+  std::int64_t mLowerSequence = 0;
+  int mLowerHeartbeats = 0;
 };
 
 } // namespace rattanpond::dispatch
