Dispatch: Bound the lease of a reborn worker by its maximum

A start for the former incarnation that the next one carries out has a deadline far ahead on the new clock, so the next one's lease may last for hold_max_ms and not only for the length that the side asks for. A side that registers a worker under its former identifier counts with the maximum until its own deadlines are later.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -209,6 +209,9 @@
 void side_agent::ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat)
 {
   auto const isNew = !mHeartbeat || mHeartbeat->mIncarnationStart != aHeartbeat.mIncarnationStart;
+  if (isNew) {
+    mIsReborn = mHeartbeat && mHeartbeat->mWorker == aHeartbeat.mWorker;
+  }
   if (mHeartbeat && mHeartbeat->mWorker != aHeartbeat.mWorker) {
     // Each call names the identifier that it is for, and the successor refuses those of another.
     mUnansweredStarts.clear();
@@ -237,7 +240,7 @@
     // worker's clock is unknown, the lease is assumed to have its full length from now on.
     mLease = {};
     mLease.mReadAt = base::Now();
-    mLease.mLatestDeadlineMs = NextDeadline();
+    mLease.mLatestDeadlineMs = LatestForeignDeadline();
     // The scheduler knows of leases of this incarnation only from reports that name it, so answers
     // to earlier reports do not allow to renew them.
     mSentReports.clear();
@@ -303,6 +306,12 @@
   return mLease.mClockMs + length.count();
 }
 
+std::int64_t side_agent::LatestForeignDeadline() const
+{
+  // On a new clock only the maximum bounds the deadline of a start for the former incarnation.
+  return mIsReborn ? mLease.mClockMs + mOptions.mSettings.mMaximumLease.count() : NextDeadline();
+}
+
 std::int64_t side_agent::StartDeadline() const
 {
   auto const length = std::min(kStartValidity, mOptions.mSettings.mMaximumLease);
@@ -440,7 +449,7 @@
   if (!mHasRunLists) {
     // First reading of the worker's clock: the lease is again assumed to have its full length, now
     // on that clock.
-    mLease.mLatestDeadlineMs = NextDeadline();
+    mLease.mLatestDeadlineMs = LatestForeignDeadline();
   }
   mLists = std::move(aLists);
   mRunListsReadAt = now;
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -119,6 +119,8 @@
   void SendReport();
   std::int64_t NextDeadline() const;
   std::int64_t StartDeadline() const;
+  /// Latest deadline that earlier processes, or starts for the former incarnation, may have set.
+  std::int64_t LatestForeignDeadline() const;
   /// Maximum wait of the next poll; it ends soon after the deadline of an open start.
   base::milliseconds PollWait() const;
   /// Remembers that a start had no answer.
@@ -167,6 +169,9 @@
   /// shown the registered incarnation. While they differ, a call may reach another incarnation.
   std::uint64_t mDoubts = 0;
   std::uint64_t mConfirmedDoubts = 0;
+  /// Whether the registered incarnation has the identifier of its predecessor, so that it carries
+  /// out calls for that one.
+  bool mIsReborn = false;
   /// Incarnation that has answered and has not registered; 0 if there is none.
   std::int64_t mUnknownIncarnationStart = 0;
   /// Starts that never took effect, and the first report with that result; 0 before the first. They
