--- a/source/dispatch/job_parts.h
+++ b/source/dispatch/job_parts.h
@@ -10,8 +10,8 @@
 
 namespace rattanpond::dispatch {
 
-/// Where the state of a job with many tasks is kept: in parts, one row each, of a fixed number of
-/// tasks, so that no row outgrows the store's limit and a change rewrites one part only.
+/// Splits the tasks of a large job into parts of fixed size. Each part is stored in a row of its
+/// own, so that no row exceeds the store's limit and a change rewrites one part only.
 class job_parts
 {
 public:
@@ -35,19 +35,19 @@
   std::uint32_t mCount = 0;
 };
 
-/// What is known of the row of one part.
+/// The last known content of a part's row in the store.
 struct stored_part
 {
-  /// Fingerprint of a part whose stored content is not that of the job in memory.
+  /// Never equal to the fingerprint of a part in memory, so that the part is written again.
   static constexpr std::uint64_t kUnknown = ~std::uint64_t{ 0 };
 
-  /// 0 if there is no row.
+  /// Version of the row; 0 if the part has none.
   std::uint64_t mVersion = 0;
-  /// Of the states in the row; 0 if all are the initial one, as without a row.
+  /// Hash of the task states in the row. 0 if no task of the part has had a run, or without a row.
   std::uint64_t mFingerprint = 0;
 };
 
-/// A part to store.
+/// A part whose states differ from its row, encoded for the next transaction.
 struct part_change
 {
   std::uint32_t mPart = 0;
@@ -56,14 +56,14 @@
   std::string mText{};
 };
 
-/// What one transaction stores of a job.
+/// The rows of a job that one transaction writes.
 struct state_change
 {
   /// The row with the phase; written only together with the last part, so that a final phase is
   /// never stored before the states that led to it.
   std::optional<std::string> mState{};
   std::vector<part_change> mParts{};
-  /// Changed parts that are left for later transactions.
+  /// Changed parts that did not fit into this transaction.
   std::set<std::uint32_t> mOpenParts{};
 };
 
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -138,7 +138,7 @@
 
 } // namespace
 
-/// The states of some tasks in their stored form.
+/// Encoded states of tasks, without those that have not had a run.
 struct job_record::task_states
 {
   std::vector<stored_task> mTasks{};
@@ -454,7 +454,8 @@
   mIsTerminated = false;
   mIsInParts = false;
   mPendingParts.clear();
-  // Rows of parts that this state has replaced are written again with the next change.
+  // An earlier version has written this state, so the rows of parts are outdated and must be
+  // written again.
   for (auto& part : mStoredParts) {
     part.mFingerprint = part.mVersion == 0 ? 0 : stored_part::kUnknown;
   }
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -48,11 +48,11 @@
   bool mIsRunTimeMeasured = false;
   /// Whether the run has started too recently to show that it does not crash its worker.
   bool mIsOnProbation = false;
-  /// Whether the worker has listed the run and no call to start it is open, so that the run ends
-  /// with the worker's incarnation.
+  /// Whether the worker has listed the run after every call to start it was answered. No other
+  /// incarnation can then receive a late call, so the run ends with this one.
   bool mIsStartSettled = false;
-  /// Count before the last crash of the run's worker, until it is known that the next incarnation
-  /// does not have the run; empty otherwise.
+  /// The crash count without the last crash. Restored if the run turns up on the next incarnation,
+  /// since it was not on the one that crashed.
   std::optional<crash_count> mCrashesBeforeDoubt;
   /// Time at which a process that only follows the store learned of the run; not set if it was
   /// stored before.
@@ -105,23 +105,22 @@
   void SetTerminated() { mIsTerminated = true; }
 
   job_parts const& Parts() const { return mParts; }
-  /// Whether the stored state is in parts. A job with many tasks may have been stored in one row by
-  /// an earlier version of the program.
+  /// Whether the store has the job's state in parts. False for a large job whose state an earlier
+  /// version of the program has stored in one row.
   bool IsInParts() const { return mIsInParts; }
-  /// Encodes what the store lacks, with at most this many parts.
+  /// Encodes the rows that differ from the store, with at most aMaximumParts parts.
   state_change EncodeChange(std::size_t aMaximumParts) const;
   void MarkPartsStored(std::uint64_t aVersion, std::vector<part_change> const& aParts);
-  /// Records that the store has the row with the phase in the form of a job in parts, if it has
-  /// parts.
+  /// Records that the row with the phase has been stored; from then on the parts are in force.
   void MarkInParts() { mIsInParts = mParts.Count() > 0; }
-  /// Records that the parts have no rows any more.
+  /// Records that the rows of these parts have been removed from the store.
   void MarkPartsRemoved(std::vector<std::uint32_t> const& aParts);
   std::vector<std::uint32_t> PartsWithRows() const;
-  /// Replaces the states of a part's tasks by stored ones, once the stored state is in parts.
-  /// Returns false if the text cannot be decoded.
+  /// Replaces the states of a part's tasks by those of its row. The row is kept back until the one
+  /// with the phase shows that the state is in parts. Returns false if it cannot be decoded.
   bool ApplyPart(std::uint32_t aPart, std::uint64_t aVersion, std::string const& aText,
                  base::time_point aStoredAt = {});
-  /// Sets the tasks of a part to waiting, as without a row.
+  /// Sets the tasks of a part to waiting, since the store has no row for it.
   void ResetPart(std::uint32_t aPart);
 
   /// Encodes the phase and the state of all tasks that differ from the initial one.
@@ -157,7 +156,7 @@
 
   void ApplyTasks(task_states const& aStates, std::optional<std::uint32_t> aPart,
                   base::time_point aStoredAt);
-  /// Of the states of a part that differ from the initial one.
+  /// Hash of the states of a part's tasks; tasks without any run do not count.
   std::uint64_t FingerprintOf(std::uint32_t aPart) const;
 
   std::string mId;
@@ -165,7 +164,7 @@
   job_parts mParts;
   std::vector<stored_part> mStoredParts;
   bool mIsInParts = false;
-  /// Parts that have arrived before the row with the phase.
+  /// Rows of parts that arrived before the row with the phase.
   std::map<std::uint32_t, std::string> mPendingParts;
   job_phase mPhase = job_phase::queued;
   job_phase mStoredPhase = job_phase::queued;
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -24,7 +24,7 @@
 inline constexpr char const* kSilentSidesKey = "silent-sides";
 inline constexpr char const* kJobPrefix = "job/";
 inline constexpr char const* kStatePrefix = "run/";
-/// The states of a job's tasks where they are stored in parts: "part/<job>/<number>".
+/// Rows with the task states of large jobs: "part/<job>/<number>", see job_parts.
 inline constexpr char const* kPartPrefix = "part/";
 inline constexpr char const* kCancellationPrefix = "stop/";
 inline constexpr char const* kSidePrefix = "side/";
@@ -181,7 +181,7 @@
   std::map<std::string, std::unique_ptr<job_record>> mJobs;
   /// State rows that arrived before the row of their job.
   std::map<std::string, platform::store_row> mStatesWithoutJob;
-  /// The same for parts, by job and row.
+  /// Rows of parts that arrived before the row of their job: by job, then by "<job>/<number>".
   std::map<std::string, std::map<std::string, platform::store_row>> mPartsWithoutJob;
   std::map<std::string, std::uint64_t> mCancellations;
   address_map mSides;
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -376,7 +376,7 @@
     auto parts = job == nullptr ? std::vector<std::uint32_t>{} : job->PartsWithRows();
     auto const isWhole = parts.size() + kRowsPerJob <= room;
     if (!isWhole) {
-      // The other rows follow with the last parts.
+      // The job's other rows are removed together with its last parts, in a later transaction.
       parts.resize(std::min(parts.size(), room));
     }
     for (auto const part : parts) {
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -109,21 +109,20 @@
     wait_report mReport;
   };
 
-  /// What a transaction stores of a job.
+  /// A job whose state is part of a transaction.
   struct batched_job
   {
     std::string mId;
     job_phase mPhase = job_phase::queued;
     std::vector<part_change> mParts;
-    /// Whether the store has the whole state with it.
+    /// Whether no part of the job is left for a later transaction.
     bool mIsComplete = true;
   };
 
-  /// How much a transaction may contain.
+  /// Maximum numbers of jobs in a transaction, and of parts of each of them.
   struct batch_limits
   {
     std::size_t mJobs = 0;
-    /// Of each job.
     std::size_t mParts = 0;
   };
 
@@ -154,14 +153,16 @@
   void LinkClosed(std::string const& aNode);
   void HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame);
   void HandleReport(session& aSession, side_report aReport);
-  /// Whether the calls for the former incarnation also reach its successor.
+  /// Whether the successor of an incarnation has another identifier. If not, calls that are meant
+  /// for the former incarnation also reach the successor, since they name the identifier only.
   enum class identifier
   {
     other,
     same_or_unknown
   };
-  /// Requeues the runs that have ended with the former incarnation. A run that may reach the
-  /// successor is carried over to it as unconfirmed, until its run lists and a stop show the truth.
+  /// Requeues the runs that ended with the former incarnation. A run whose start may have reached
+  /// the successor is assigned to it as unconfirmed: its run lists show the run, or a stop that it
+  /// answers rules the run out.
   void ReplaceIncarnation(session& aSession, std::int64_t aIncarnationStart,
                           identifier aIdentifier);
   void CarryOver(job_record& aJob, task_position const& aPosition, std::int64_t aIncarnationStart);
@@ -187,8 +188,8 @@
   /// incarnation. Returns whether a task is known to be suspect that ran there alone.
   bool RecordCrash(std::string const& aNode,
                    std::function<bool(tracked_task const&)> const& aIsOnWorker);
-  /// A run that was carried over is on the successor, so its worker did not crash under it. Returns
-  /// whether a crash had been counted.
+  /// Undoes the last crash count of a run that has turned up on the successor: it was not on the
+  /// incarnation that crashed. Returns whether there was such a count.
   bool TakeBackCrash(job_record& aJob, tracked_task& aTask);
   /// Whether a run of a former holder may have started too recently to show that it does not crash
   /// its worker.
@@ -264,15 +265,15 @@
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
-  /// The store will never take the batch: its jobs are stored one by one, and one that cannot be
-  /// stored even so is set aside, so that it does not hold up the others.
+  /// Handles a transaction that the store will never accept. Its jobs are stored one by one to find
+  /// the cause; a job that is rejected alone is set aside, so that it does not block the others.
   void BatchRejected();
   /// Puts the jobs of a batch that was not stored back into the queue of changes.
   void ReturnBatch(batch const& aBatch);
-  /// Appends what the store lacks of a job. Returns the bytes added.
+  /// Adds the changed rows of a job to a transaction. Returns their size in bytes.
   std::size_t AddToBatch(batch& aBatch, job_record& aJob);
   bool IsSetAside(std::string const& aJob) const { return mSetAside.contains(aJob); }
-  /// Tries again to store the jobs that were set aside.
+  /// Puts jobs back into the queue of changes once their time aside is over.
   void RetrySetAsideJobs(base::time_point aNow);
   void SendStart(planned_start const& aStart);
 
@@ -304,9 +305,9 @@
   /// Workers that waiting groups have claimed in the last decision.
   std::vector<placement_claim> mClaims;
   std::optional<batch> mBatch;
-  /// Number of the next transactions that contain one job and one part of it only.
+  /// How many of the next transactions are limited to one part of one job, after a rejection.
   std::size_t mSmallBatches = 0;
-  /// Jobs whose state the store does not take, and when to try again.
+  /// Jobs whose state the store has rejected, and when to try again.
   std::map<std::string, base::time_point> mSetAside;
   failure_history mFailures;
   /// Empty if the settings name no advice service.
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -25,8 +25,9 @@
 constexpr std::size_t kJobsPerBatch = 18;
 /// Maximum number of parts of one job per transaction: each adds a change and a condition.
 constexpr std::size_t kPartsPerBatch = 12;
-/// Jobs are added to a transaction until its entries and bytes have reached these. A call has at
-/// most 100 entries and 1 MB, in which a value takes four thirds of its bytes.
+/// No further job is added to a transaction that has reached one of these. The last job, the
+/// configuration and the failure domains may exceed them, and base64 adds a third to the bytes; the
+/// store accepts 100 entries and 1 MB.
 constexpr std::size_t kEntriesPerBatch = 62;
 constexpr std::size_t kBytesPerBatch = 250'000;
 /// Time after which a job that the store has rejected is tried again.
@@ -107,7 +108,8 @@
                            .mPhase = aJob.Phase(),
                            .mParts = std::move(change.mParts),
                            .mIsComplete = change.mOpenParts.empty() });
-  // A start is ordered once the store has it, so those in parts that are left wait for these.
+  // A start may be ordered only once it is stored, so starts in parts that did not fit stay
+  // planned.
   std::erase_if(mPlanned, [&](planned_start const& aPlanned) {
     auto const isStored =
       change.mOpenParts.empty() ||
@@ -349,7 +351,7 @@
     if (aNow < aEntry.second) {
       return false;
     }
-    // The first transaction with the job is a small one, so that it rejects no other job with it.
+    // If the store still rejects the job, a limited transaction contains no other job.
     mSmallBatches = std::max<std::size_t>(mSmallBatches, 1);
     mDirty.Insert(aEntry.first);
     return true;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -41,13 +41,13 @@
 constexpr std::uint64_t kUnreadableLogInterval = 50;
 /// A worker that has reported its departure ends within this time.
 constexpr milliseconds kDepartureDelay{ 500 };
-/// Time for which a start call without an answer may still be carried out. The protocol speaks of
-/// seconds.
+/// Starts without an answer are remembered for this long. The worker may carry them out "seconds
+/// later"; the protocol gives no longest time.
 constexpr milliseconds kLateCallWindow{ 30'000 };
 /// Maximum number of claims that are verified at the same time.
 constexpr std::size_t kMaximumClaims = 4;
-/// Shortest time between two heartbeats of a worker, for the highest plausible sequence number, and
-/// numbers that it may skip besides.
+/// A sequence number is plausible if the worker has sent at most one heartbeat in this interval
+/// since the last one, and kSkippedHeartbeats more.
 constexpr milliseconds kShortestHeartbeatInterval{ 50 };
 constexpr std::int64_t kSkippedHeartbeats = 20;
 /// A series of lower sequence numbers is taken for that of the worker once it has this many, and
@@ -156,8 +156,8 @@
     mLowerHeartbeats = 0;
     return false;
   }
-  // Delayed heartbeats arrive between later ones. If there are none, the registered number was not
-  // the worker's.
+  // A delayed heartbeat is followed by newer ones. If only lower numbers arrive, and they increase,
+  // they are the worker's, and the higher one came from another program.
   mLowerHeartbeats = mLowerHeartbeats > 0 && sequence > mLowerSequence ? mLowerHeartbeats + 1 : 1;
   mLowerSequence = sequence;
   if (mLowerHeartbeats < kLowerSeries || since < kSequenceSilence) {
@@ -387,8 +387,8 @@
     mOpenStarts.size());
   mOptions.mMetrics.Counter("rattanpond_unknown_incarnations").Add();
   mUnknownIncarnationStart = aIncarnationStart;
-  // It may have carried out starts for its predecessor. Their deadlines are far ahead on its clock,
-  // so only the maximum bounds its lease.
+  // It may have carried out starts that were meant for its predecessor. Their deadlines are far
+  // ahead on its own clock, so its lease may have the maximum length.
   mLease.mClockMs = 0;
   mLease.mReadAt = base::Now();
   mLease.mLatestDeadlineMs = mOptions.mSettings.mMaximumLease.count();
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -89,13 +89,13 @@
   boost::asio::awaitable<void> OrderLoop();
   boost::asio::awaitable<void> ReadRunListsForResults();
   boost::asio::awaitable<bool> ReadRunLists(base::milliseconds aWait);
-  /// A call had no answer, so that the worker may be another incarnation by now.
+  /// Records a call without an answer: the worker may have been replaced by another incarnation.
   void DoubtIncarnation() { ++mDoubts; }
   bool IsIncarnationConfirmed() const { return mConfirmedDoubts == mDoubts; }
-  /// Another incarnation than the registered one has answered. Nothing is started on it before it
-  /// has registered.
+  /// Handles an answer of another incarnation than the registered one. The worker counts as absent
+  /// until the new incarnation has registered.
   void HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign);
-  /// Stops runs that this incarnation does not list, and may still receive a start of.
+  /// Stops runs that the worker does not list although a call to start them may still reach it.
   void StopUnansweredStarts();
   boost::asio::awaitable<order_result> ExecuteOrder(pending_order aOrder);
   boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder, std::uint64_t aTerm,
@@ -107,11 +107,10 @@
   void HandleOrders(net::link_ptr const& aLink, side_orders aOrders);
   void AcceptRunLists(platform::worker_run_lists aLists, sent_poll const& aPoll);
   void ApplyHeartbeat(platform::worker_heartbeat const& aHeartbeat);
-  /// Whether the heartbeat is older than the last one of the registered incarnation, or its
-  /// sequence number is too high to be its next one.
+  /// Whether a heartbeat of the registered incarnation is to be ignored: it is older than the last
+  /// one, or the worker cannot have sent that many heartbeats yet.
   bool IsOutOfSequence(platform::worker_heartbeat const& aHeartbeat);
-  /// Asks the worker's address whether the incarnation of a heartbeat is there, and registers it
-  /// only then.
+  /// Registers the incarnation that a heartbeat names, once the worker's address has confirmed it.
   boost::asio::awaitable<void> VerifyClaim(platform::worker_heartbeat aClaim);
   /// Whether the claim names a later incarnation than the registered one.
   bool IsNewer(platform::worker_heartbeat const& aClaim) const;
@@ -119,7 +118,8 @@
   void SendReport();
   std::int64_t NextDeadline() const;
   std::int64_t StartDeadline() const;
-  /// Latest deadline that earlier processes, or starts for the former incarnation, may have set.
+  /// Latest lease deadline that the worker may have received without this process knowing it: from
+  /// an earlier process of the side, or in a start for the former incarnation.
   std::int64_t LatestForeignDeadline() const;
   /// Maximum wait of the next poll; it ends soon after the deadline of an open start.
   base::milliseconds PollWait() const;
@@ -162,11 +162,11 @@
   std::vector<order_result> mResultsAwaitingRunLists;
   std::vector<order_result> mResults;
   std::map<run_key, open_start> mOpenStarts;
-  /// Send times of recent start calls without an answer. The worker may carry them out later, also
-  /// its next incarnation, on whose clock their deadlines say nothing.
+  /// Send times of recent start calls without an answer. A later incarnation may still carry them
+  /// out: its clock begins anew, so it does not refuse them as late.
   std::map<run_key, base::time_point> mUnansweredStarts;
-  /// Calls without an answer, and their number at the sending of the last run-list call that has
-  /// shown the registered incarnation. While they differ, a call may reach another incarnation.
+  /// Number of calls without an answer, and that number when the last run-list call that the
+  /// registered incarnation has answered was sent. The incarnation is confirmed if they are equal.
   std::uint64_t mDoubts = 0;
   std::uint64_t mConfirmedDoubts = 0;
   /// Whether the registered incarnation has the identifier of its predecessor, so that it carries
@@ -188,8 +188,8 @@
   std::uint64_t mDisputedHeartbeats = 0;
   /// Claims that are being verified: identifier and start of the incarnation.
   std::set<std::pair<std::string, std::int64_t>> mClaims;
-  /// Last heartbeat of the registered incarnation with a sequence number below the registered one,
-  /// and how many such numbers have risen in a row.
+  /// Sequence number of the last heartbeat that was ignored as older, and how many of these numbers
+  /// in a row have been increasing.
   std::int64_t mLowerSequence = 0;
   int mLowerHeartbeats = 0;
 };
--- a/source/dispatch/tests/job_parts_test.cpp
+++ b/source/dispatch/tests/job_parts_test.cpp
@@ -46,8 +46,8 @@
 
 BOOST_AUTO_TEST_SUITE(job_parts_test)
 
-// Guards against a row that outgrows the store's limit, for the largest job that is accepted, and
-// against another state after it has been read again, in either order of its rows.
+// Guards against rows larger than the store accepts, for the largest job that callers may submit,
+// and against states that change when they are stored and read back, whichever row arrives first.
 BOOST_AUTO_TEST_CASE(the_largest_job_fits_into_rows)
 {
   for (auto const isPhaseFirst : { true, false }) {
@@ -92,7 +92,7 @@
   BOOST_TEST(change.mParts.front().mExpectedVersion == 5U);
 }
 
-// Guards against a phase that the store has before the states that led to it.
+// Guards against a job that is stored as done before all of its tasks are.
 BOOST_AUTO_TEST_CASE(the_phase_is_stored_with_the_last_part)
 {
   job_record job{ "job", LargeJob() };
@@ -110,8 +110,8 @@
   BOOST_TEST(transactions == 4U);
 }
 
-// Guards against states that are lost when a version of the program that stores them in one row has
-// been at work in between.
+// Guards against outdated parts after a roll back and an update: the earlier version of the program
+// has stored the whole state in one row, which is newer than the parts.
 BOOST_AUTO_TEST_CASE(a_state_in_one_row_replaces_the_parts)
 {
   job_record job{ "job", LargeJob() };
@@ -129,7 +129,7 @@
   BOOST_TEST(read.EncodeChange(kAllParts).mParts.size() == parts.mParts.size());
 }
 
-// Guards against rows of another form for jobs of the usual size, which earlier versions read.
+// Guards against a new form of the rows of small jobs, which earlier versions could not read.
 BOOST_AUTO_TEST_CASE(a_job_of_usual_size_has_one_row)
 {
   job_description description{ .mQueue = "queue" };
--- a/source/platform/tests/claimed_worker_test.cpp
+++ b/source/platform/tests/claimed_worker_test.cpp
@@ -50,9 +50,8 @@
 
 BOOST_AUTO_TEST_SUITE(claimed_worker_test)
 
-// Guards against a sound worker that is out of use for good, as a heartbeat of another program
-// named another incarnation: of another service, of the same one, of the same identifier, again and
-// again.
+// Guards against a sound worker that is never used again after heartbeats of another program: they
+// name another incarnation, with a wrong or the right service, or even the worker's identifier.
 BOOST_AUTO_TEST_CASE(a_claim_does_not_replace_a_worker_that_answers)
 {
   claimed_cluster cluster;
--- a/source/platform/tests/large_job_test.cpp
+++ b/source/platform/tests/large_job_test.cpp
@@ -34,8 +34,8 @@
 
 BOOST_AUTO_TEST_SUITE(large_job_test)
 
-// Guards against a scheduler that stops for all jobs, as the state of one outgrows a row of the
-// store.
+// Guards against a scheduler that stores nothing more for any job, since the state of one job is
+// larger than a row of the store.
 BOOST_AUTO_TEST_CASE(a_job_of_many_tasks_holds_up_no_other)
 {
   large_job_cluster cluster;
@@ -51,8 +51,8 @@
   RequireNoFaults(cluster);
 }
 
-// Guards against a next scheduler that reads the state of a large job otherwise than it was stored,
-// and against rows that stay in the store after the job.
+// Guards against tasks of a large job that are lost or run again after a takeover, since the new
+// scheduler misreads the rows of its parts; and against parts that are never removed.
 BOOST_AUTO_TEST_CASE(a_large_job_goes_on_after_changes_of_the_scheduler)
 {
   large_job_cluster cluster{ milliseconds{ 500 } };
--- a/source/platform/tests/reborn_worker_test.cpp
+++ b/source/platform/tests/reborn_worker_test.cpp
@@ -191,7 +191,8 @@
   cluster.CheckDone();
 }
 
-// Guards against a long wait after a crash: a run whose start is not in doubt ends with its worker.
+// Guards against a needless wait after a crash: a run that the worker has listed, with all calls of
+// its start answered, cannot be on the next incarnation.
 BOOST_AUTO_TEST_CASE(a_run_without_an_open_start_does_not_wait_for_the_next_incarnation)
 {
   reborn_cluster cluster{ milliseconds{ 3000 } };
--- a/source/platform/tests/side_agent_test.cpp
+++ b/source/platform/tests/side_agent_test.cpp
@@ -332,6 +332,26 @@
   BOOST_TEST(linked.mRecorder.ActiveRuns() == 1U);
 }
 
+// Guards against two runs at once: a worker that is back under its identifier carries out a start
+// for its predecessor, whose deadline is far ahead on the new clock, and answers nothing more. Its
+// side must not report a shorter lease than the longest one.
+BOOST_AUTO_TEST_CASE(the_lease_of_a_reborn_worker_may_have_the_maximum_length)
+{
+  linked_side linked;
+  auto& side = linked.mSide;
+  side.SendHeartbeat();
+  BOOST_REQUIRE(linked.HasRunLists());
+  side.mWorker.Crash();
+  side.SendHeartbeat();
+  auto const isReborn = [&] {
+    return linked.mReports.back().mIncarnationStart == side.mWorker.IncarnationStart();
+  };
+  BOOST_REQUIRE(linked.RunUntil(isReborn));
+  constexpr milliseconds kReportDelay{ 500 };
+  BOOST_TEST((linked.mReports.back().mLeaseLeft >
+              dispatch::MaximumRealTime(side.mSettings.mMaximumLease) - kReportDelay));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
