Dispatch: Let the test of a reborn worker meet the fault

a_start_that_reaches_the_next_incarnation_runs_once passed on the code before the fix: its workers were full, or each doubtful run had been stopped before the heartbeat came. The check is the same.

--- a/source/platform/tests/reborn_worker_test.cpp
+++ b/source/platform/tests/reborn_worker_test.cpp
@@ -9,11 +9,26 @@
 /// Stopped runs continue for about the longest time that the users' site files allow.
 constexpr milliseconds kStopTime{ 380 };
 
+/// A job whose second step, in the first rack, follows a short one in the second rack. Since a task
+/// of the job has succeeded, one crash does not make the others wait for a trial of their own.
+std::string TwoStepJob()
+{
+  base::json const first{
+    { "count", 1 }, { "cpu", 1000 }, { "mem_mb", 1000 }, { "required_label", "r2" }
+  };
+  base::json const second{ { "count", 1 },
+                           { "cpu", 1000 },
+                           { "mem_mb", 1000 },
+                           { "required_label", "r1" },
+                           { "after", { 0 } } };
+  return base::json{ { "spec", "x" }, { "steps", { first, second } } }.dump();
+}
+
 /// A cluster one worker of which crashes and starts again under its identifier.
 struct reborn_cluster : test_cluster
 {
-  explicit reborn_cluster(milliseconds aWork, int aSides = 2)
-    : test_cluster{ 2, aSides }
+  explicit reborn_cluster(milliseconds aWork, int aSides = 2, int aRacks = 1)
+    : test_cluster{ cluster_options{ .mSides = aSides, .mRacks = aRacks } }
   {
     for (auto const& side : mSides) {
       side->mWorker.mWork = aWork;
@@ -40,10 +55,10 @@
       mSides, [](auto const& aSide) { return aSide->Agent().Dump().at("state") == "ready"; });
   }
 
-  void Submit(int aJob, int aAccelerators = 1)
+  void Submit(int aJob, std::string const& aBody = JobBody(1, 1))
   {
     mPaths.push_back("/u/" + JobId(aJob));
-    BOOST_TEST(Call(Standby(), "POST", mPaths.back(), JobBody(1, aAccelerators)) == 200U);
+    BOOST_TEST(Call(Standby(), "POST", mPaths.back(), aBody) == 200U);
   }
 
   /// Orders to all workers are delayed until the chosen one starts again.
@@ -97,20 +112,31 @@
 // heartbeat, and had runs that were ordered meanwhile; they started again elsewhere.
 BOOST_AUTO_TEST_CASE(a_start_that_reaches_the_next_incarnation_runs_once)
 {
+  constexpr milliseconds kTrafficInterval{ 60 };
   for (auto const heartbeatAfter : { milliseconds{ 1000 }, milliseconds{ 1400 } }) {
-    reborn_cluster cluster{ milliseconds{ 1000 } };
+    // The first and the third worker are in the first rack.
+    reborn_cluster cluster{ milliseconds{ 2000 }, 3, 2 };
+    for (auto const& side : cluster.mSides) {
+      side->mWorker.mWorkOf = [](std::string const& aTask) {
+        return milliseconds{ aTask.ends_with(".0.0.0") ? 20 : 2000 };
+      };
+    }
     auto job = 1;
     auto const submitFor = [&](milliseconds aTime) {
       for (auto const until = base::Now() + aTime; base::Now() < until; ++job) {
-        cluster.Submit(job, 0);
-        cluster.RunFor(milliseconds{ 60 });
+        cluster.Submit(job, TwoStepJob());
+        cluster.RunFor(kTrafficInterval);
       }
     };
-    submitFor(milliseconds{ 200 });
-    cluster.ChooseBusiest();
+    submitFor(milliseconds{ 600 });
+    cluster.mChosen =
+      cluster.mSides[0]->mWorker.mStarted > cluster.mSides[2]->mWorker.mStarted ? 0U : 2U;
     cluster.ChosenSide().mSendsHeartbeats = false;
     cluster.Chosen().Crash();
     submitFor(heartbeatAfter);
+    // The next incarnation is of another kind, so that whatever starts again starts elsewhere.
+    cluster.ChosenSide().mRack = "r3";
+    cluster.ChosenSide().SendHeartbeat();
     cluster.ChosenSide().mSendsHeartbeats = true;
     cluster.CheckDone();
   }
