--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -450,6 +450,114 @@
   return isRejected && starts > 0 ? 1 : 0;
 }
 
+/// An executor goes down and up by turns; a start that one incarnation leaves unanswered is carried
+/// out by the second one after it.
+int ThirdIncarnation(std::string const& aFolder)
+{
+  constexpr std::int64_t kDownMs = 1100;
+  constexpr std::int64_t kFirstBeatMs = 500;
+  auto& world = *new deployment{ { .mFolder = aFolder,
+                                   .mFronts = 3,
+                                   .mSides = 10,
+                                   .mPlan = [](std::string const&, std::uint32_t) {
+                                     return run_plan{ .mWorkMs = 8500 };
+                                   } } };
+  world.WriteConfiguration({ { "queue-a", "/queue-a/", 0, 3 } });
+  world.Start();
+  std::string const job = "0000000000000041";
+  executor::demand const demand{ .mMillicores = 15'000, .mMemory = 31'000, .mAccelerators = 8 };
+  executor::SetDemand(job, demand);
+  auto& flapping = world.Executor(0);
+  auto const flap = [&] {
+    flapping.Crash();
+    SleepMs(kDownMs);
+    flapping.Restart(kFirstBeatMs);
+  };
+  if (HasTrouble()) {
+    flap();
+    SleepMs(1150);
+    flapping.mHoldsNextStart = true;
+  }
+  if (world.Submit(0, "/queue-a/", job, json::array({ Step(1, demand, 8500) })).mStatus != 200) {
+    return 2;
+  }
+  if (HasTrouble()) {
+    auto const until = NowMs() + 500;
+    while (flapping.mHoldsNextStart && NowMs() < until) {
+      SleepMs(5);
+    }
+    if (flapping.mHoldsNextStart) {
+      Record("the start went to another executor");
+      return 2;
+    }
+    SleepMs(100);
+    flap();
+    SleepMs(1400);
+    flap();
+    SleepMs(50);
+    flapping.CarryOutLateStart();
+  }
+  SleepMs(14'000);
+  world.Get(0, "/queue-a/" + job);
+  // Runs of the task: from the start until the end or the crash of their executor.
+  std::map<std::string, std::int64_t> running;
+  int broken = 0;
+  for (auto const& event : world.Log().All()) {
+    auto const key = event.mExecutor + " run=" + std::to_string(event.mRun);
+    if (event.mWhat != "start") {
+      running.erase(key);
+      continue;
+    }
+    for (auto const& [other, since] : running) {
+      Record("TWICE: " + key + " begins beside " + other);
+      broken = 1;
+    }
+    running[key] = event.mAtMs;
+  }
+  return broken;
+}
+
+/// The time of day of an executor's machine is ahead while it starts, and goes back; it crashes
+/// once more within that time, so that its new start is earlier than the former one.
+int ClockBehind(std::string const& aFolder)
+{
+  auto& world = *new deployment{
+    { .mFolder = aFolder,
+      .mFronts = 3,
+      .mSides = 7,
+      .mLabels =
+        [](std::size_t aSide) {
+          return std::vector<std::string>{ aSide == 0 ? "b" : "a", "r1-1" };
+        },
+      .mPlan = [](std::string const&, std::uint32_t) { return run_plan{ .mWorkMs = 2000 }; } }
+  };
+  world.WriteConfiguration({ { "queue-a", "/queue-a/", 1, 3 } });
+  world.Start();
+  auto& restarted = world.Executor(0);
+  restarted.Crash();
+  SleepMs(700);
+  restarted.Restart(100, HasTrouble() ? 2000 : 0);
+  SleepMs(800);
+  restarted.Crash();
+  SleepMs(700);
+  restarted.Restart(100);
+  SleepMs(4000);
+  std::string const job = "0000000000000051";
+  executor::demand const demand{ .mMillicores = 1000, .mMemory = 64, .mAccelerators = 1 };
+  executor::SetDemand(job, demand);
+  auto step = Step(2, demand, 2000);
+  step["required_label"] = "b";
+  if (world.Submit(0, "/queue-a/", job, json::array({ step })).mStatus != 200) {
+    return 2;
+  }
+  SleepMs(kFinishMs + 6000);
+  auto const state = StateOf(world.Get(0, "/queue-a/" + job));
+  auto const starts = world.Log().Count(job, "start");
+  Record("state " + state + ", starts " + std::to_string(starts) +
+         "; i-1 is up, idle and the only executor with the label");
+  return starts == 0 ? 1 : 0;
+}
+
 /// An executor is lost right before a job is placed on it.
 int Pending(std::string const& aFolder)
 {
@@ -535,6 +643,8 @@
     { "gang-count", &GangCount },
     { "refused", &Refused },
     { "pending", &Pending },
+    { "third-incarnation", &ThirdIncarnation },
+    { "clock-behind", &ClockBehind },
     { "large-twice", &LargeTwice }
   };
   auto const found = cases.find(aArguments[1]);
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -528,7 +528,12 @@
 
 void executor::Beat()
 {
-  for (std::int64_t sequence = 1; !mIsLost; ++sequence) {
+  while (!mIsLost) {
+    SleepMs(10);
+    if (mIsDown || NowMs() < mNextBeatAt) {
+      continue;
+    }
+    mNextBeatAt = NowMs() + kHeartbeatMs;
     json const body{ { "service", mOptions.mService },
                      { "address", mOptions.mAddress + ":" + std::to_string(mOptions.mPort) },
                      { "zone", mOptions.mZone },
@@ -543,13 +548,55 @@
                      { "labels", mOptions.mLabels },
                      { "clock_ms", Clock() },
                      { "born", mBorn },
-                     { "seq", sequence } };
+                     { "seq", ++mSequence } };
     Call(mOptions.mAddress, mOptions.mControlPort, "PUT", "/api/instances/" + mOptions.mId, {},
          body.dump(), 1000);
-    SleepMs(kHeartbeatMs);
   }
 }
 
+void executor::Crash()
+{
+  std::lock_guard const lock{ mMutex };
+  mIsDown = true;
+  for (auto const& active : mRuns) {
+    mLog.Add({ NowMs(), mOptions.mId, active.mTask, active.mRun, "crashed" });
+  }
+  mRuns.clear();
+  mEnds.clear();
+  mOver.clear();
+  mFence = 0;
+  mLeaseEnd = 0;
+  mNumber = 0;
+  mAcknowledged = 0;
+  Record(mOptions.mId + " crashes");
+}
+
+void executor::Restart(std::int64_t aFirstBeatMs, std::int64_t aClockStepMs)
+{
+  std::lock_guard const lock{ mMutex };
+  mBorn = WallMs() + aClockStepMs;
+  mClockZero = NowMs() - 1000;
+  mSequence = 0;
+  mNextBeatAt = NowMs() + aFirstBeatMs;
+  mIsDown = false;
+  Record(mOptions.mId + " is up again, born=" + std::to_string(mBorn));
+}
+
+void executor::CarryOutLateStart()
+{
+  json body;
+  {
+    std::lock_guard const lock{ mMutex };
+    if (!mLateStart) {
+      return;
+    }
+    body = *mLateStart;
+  }
+  auto const reply = Start(body);
+  Record(mOptions.mId + " carries the late start out: " + std::to_string(reply.mStatus) + " " +
+         reply.mBody);
+}
+
 std::optional<http_reply> executor::Handle(http_call const& aCall)
 {
   if (mIsLost) {
@@ -559,10 +606,20 @@
   if (!aCall.mInstance.empty() && aCall.mInstance != mOptions.mId) {
     return http_reply{ 421, "{}" };
   }
+  if (mIsDown) {
+    return std::nullopt;
+  }
   auto const body = json::parse(aCall.mBody, nullptr, false);
   if (!body.is_object()) {
     return http_reply{ 400, "{}" };
   }
+  if (aCall.mTarget == "/api/run-start" && mHoldsNextStart.exchange(false)) {
+    Record(mOptions.mId + " leaves a start unanswered, task=" + body.value("task", "") +
+           " run=" + std::to_string(body.value("run", 0)));
+    std::lock_guard const lock{ mMutex };
+    mLateStart = body;
+    return std::nullopt;
+  }
   if (aCall.mTarget == "/api/run-start") {
     return Start(body);
   }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -205,6 +205,16 @@
 
   /// The executor is lost: it sends nothing, answers nothing and runs nothing.
   std::atomic<bool> mIsLost{ false };
+  /// The next start gets no answer and is carried out later, by CarryOutLateStart.
+  std::atomic<bool> mHoldsNextStart{ false };
+
+  /// Ends the process with everything that it runs and knows.
+  void Crash();
+  /// Starts it again under its identifier. The first heartbeat comes after aFirstBeatMs.
+  /// aClockStepMs: how far the time of day of its machine is from the true one.
+  void Restart(std::int64_t aFirstBeatMs, std::int64_t aClockStepMs = 0);
+  /// Carries the start out that was held back.
+  void CarryOutLateStart();
 
   /// Demand of the tasks of a job, and the members of its gang; 0 if it is none.
   struct demand
@@ -242,13 +252,19 @@
   void End(std::size_t aIndex, std::string const& aHow);
   void Work();
   void Beat();
-  std::int64_t Clock() const { return NowMs() + 400'000; }
+  std::int64_t Clock() const { return NowMs() - mClockZero; }
 
   executor_options mOptions;
   event_log& mLog;
   gangs& mGangs;
   std::function<run_plan(std::string const&, std::uint32_t)> mPlan;
   std::int64_t mBorn = 0;
+  /// The clock of each incarnation begins anew.
+  std::int64_t mClockZero = -400'000;
+  std::atomic<bool> mIsDown{ false };
+  std::atomic<std::int64_t> mNextBeatAt{ 0 };
+  std::atomic<std::int64_t> mSequence{ 0 };
+  std::optional<json> mLateStart;
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::uint64_t mFence = 0;
