--- a/review/standin-3/world.h
+++ b/review/standin-2b/world.h
@@ -455,6 +455,37 @@
     mChanged.notify_all();
   }
 
+  /// The executor is partitioned from all machines and runs on.
+  void SetCutOff(bool aIsCutOff)
+  {
+    std::lock_guard const lock{ mMutex };
+    mIsCutOff = aIsCutOff;
+    mRecorder.Write("exec  " + mId + (aIsCutOff ? " is cut off" : " is reached again"));
+    mChanged.notify_all();
+  }
+
+  /// The executor stands still with its machine. Its steady clock does not count that time, and its
+  /// runs do not work.
+  void Suspend()
+  {
+    std::lock_guard const lock{ mMutex };
+    mSuspendedAt = NowMs();
+    mRecorder.Write("exec  " + mId + " is suspended");
+  }
+
+  void Resume()
+  {
+    std::lock_guard const lock{ mMutex };
+    auto const time = NowMs() - mSuspendedAt;
+    mSuspendedAt = 0;
+    mLifeBeganAt += time;
+    for (auto& entry : mRuns) {
+      entry.second.mBeganAt += time;
+      entry.second.mStopAt += entry.second.mStopAt == 0 ? 0 : time;
+    }
+    mRecorder.Write("exec  " + mId + " wakes up after " + std::to_string(time) + " ms");
+  }
+
   /// Another life begins.
   void PowerOn()
   {
@@ -484,7 +515,11 @@
     std::string mHow;
   };
 
-  std::int64_t Clock() const { return NowMs() - mLifeBeganAt + 1; }
+  /// The executor's steady clock, which does not count the time of a suspension.
+  std::int64_t Clock() const
+  {
+    return (mSuspendedAt != 0 ? mSuspendedAt : NowMs()) - mLifeBeganAt + 1;
+  }
 
   void BeginLife()
   {
@@ -538,7 +573,7 @@
         std::lock_guard const lock{ mMutex };
         if (mDownUntil != 0) {
           mustBegin = NowMs() >= mDownUntil;
-        } else {
+        } else if (mSuspendedAt == 0) {
           Advance();
         }
       }
@@ -594,10 +629,16 @@
     return { aStatus, body.dump() };
   }
 
+  /// Whether calls to this life get no answer now.
+  bool IsSilent(int aLife) const
+  {
+    return aLife != mLife || mDownUntil != 0 || mIsCutOff || mSuspendedAt != 0;
+  }
+
   response Handle(request const& aRequest, int aLife)
   {
     std::unique_lock lock{ mMutex };
-    if (aLife != mLife || mDownUntil != 0) {
+    if (IsSilent(aLife)) {
       return LostAnswer();
     }
     auto const expected = aRequest.mHeaders.find("x-expect-instance");
@@ -681,10 +722,9 @@
     std::erase_if(mEnds, [&](end const& aEnd) { return aEnd.mNumber <= cursor; });
     auto const until =
       std::chrono::steady_clock::now() + milliseconds{ aBody.value("wait_ms", std::int64_t{ 0 }) };
-    mChanged.wait_until(aLock, until, [&] {
-      return !mEnds.empty() || aLife != mLife || mDownUntil != 0 || mIsStopping;
-    });
-    if (aLife != mLife || mDownUntil != 0) {
+    mChanged.wait_until(aLock, until,
+                        [&] { return !mEnds.empty() || IsSilent(aLife) || mIsStopping; });
+    if (IsSilent(aLife)) {
       return LostAnswer();
     }
     json body{ { "clock_ms", Clock() }, { "born", mBorn } };
@@ -711,7 +751,7 @@
       std::string id;
       {
         std::lock_guard const lock{ mMutex };
-        if (mDownUntil != 0 || (NowMs() < due && life == mLife)) {
+        if (IsSilent(mLife) || (NowMs() < due && life == mLife)) {
           continue;
         }
         life = mLife;
@@ -750,6 +790,9 @@
   std::int64_t mBorn = 0;
   std::int64_t mLifeBeganAt = 0;
   std::int64_t mDownUntil = 0;
+  bool mIsCutOff = false;
+  /// Time since which the machine is suspended; 0 if it is not.
+  std::int64_t mSuspendedAt = 0;
   std::int64_t mSequence = 0;
   std::uint64_t mFence = 0;
   std::int64_t mDeadline = 0;
@@ -970,6 +1013,56 @@
     mExecutors[index]->PowerOn();
   }
 
+  /// The executor of a side.
+  executor& Executor(int aSide) { return *mExecutors[static_cast<std::size_t>(aSide)]; }
+
+  /// The machine of a side, with the executor on it, is suspended.
+  void Suspend(int aSide)
+  {
+    auto const& side = mProcesses[static_cast<std::size_t>(aSide)];
+    mRecorder.Write("freeze " + side.mNode + " is suspended");
+    kill(side.mPid, SIGSTOP);
+    Executor(aSide).Suspend();
+  }
+
+  void Resume(int aSide)
+  {
+    auto const& side = mProcesses[static_cast<std::size_t>(aSide)];
+    Executor(aSide).Resume();
+    kill(side.mPid, SIGCONT);
+    mRecorder.Write("freeze " + side.mNode + " wakes up");
+  }
+
+  /// The platform kills each front that exceeds its memory, and starts it again. Returns how many.
+  int KillFrontsOver(std::int64_t aMebibytes)
+  {
+    int killed = 0;
+    for (auto& front : mProcesses) {
+      if (front.mPid < 0) {
+        if (NowMs() >= mRestarts[front.mNode]) {
+          Launch(front);
+        }
+        continue;
+      }
+      std::ifstream file{ "/proc/" + std::to_string(front.mPid) + "/statm" };
+      std::int64_t pages = 0;
+      std::int64_t resident = 0;
+      file >> pages >> resident;
+      auto const used = resident * sysconf(_SC_PAGESIZE) / (1024 * 1024);
+      if (front.mRole != "front" || used <= aMebibytes) {
+        continue;
+      }
+      mRecorder.Write("power " + front.mNode + " is killed, it uses " + std::to_string(used) +
+                      " MB");
+      kill(front.mPid, SIGKILL);
+      waitpid(front.mPid, nullptr, 0);
+      front.mPid = -1;
+      mRestarts[front.mNode] = NowMs() + kRestartDelayMs;
+      ++killed;
+    }
+    return killed;
+  }
+
   bool AreAllRunning()
   {
     return std::ranges::none_of(mProcesses, [](process const& aProcess) {
@@ -1105,8 +1198,12 @@
     mProcesses.push_back(std::move(aProcess));
   }
 
+  /// A killed process is started again after this time.
+  static constexpr std::int64_t kRestartDelayMs = 500;
+
   options mOptions;
   recorder& mRecorder;
+  std::map<std::string, std::int64_t> mRestarts;
   std::string mNetwork;
   std::uint64_t mVersion = 4;
   std::vector<std::string> mKeys{ "key-of-tenant-1" };
