--- a/review/standin-2b/cases.cpp
+++ b/review/standin-2b/cases.cpp
@@ -126,7 +126,7 @@
 }
 
 /// Recurring jobs with many occurrences are handed in. The platform kills a process that exceeds
-/// its memory, and starts it again. Not handed in as a case, see REPORT-2.md.
+/// its memory, and starts it again. Not handed in as a case, see REPORT-3.md.
 verdict PlayMemory(stage& aStage)
 {
   constexpr int kJobs = 64;
@@ -177,7 +177,7 @@
 }
 
 /// Three machines lose power one after the other, each shortly before a task is ordered
-/// there. The fault of review/5, without a start; not handed in, see REPORT-2.md.
+/// there. The fault of review/5, without a start.
 verdict PlayLostMachines(stage& aStage)
 {
   constexpr std::int64_t kDarkMs = 3500;
