Trial of a late start that a restarted executor carries out

Cause: the random play of losses on the deployed program found two runs of one task at once. Change: a trial that shows it, and late starts, restarts under the same id and first heartbeats in the stand-in.

--- a/review/standin-4/cases.h
+++ b/review/standin-4/cases.h
@@ -250,12 +250,59 @@
   return isBroken ? 1 : 0;
 }
 
+/// Rule TWICE. A start gets no answer and is carried out late; meanwhile the executor crashes, and
+/// starts again under its id.
+inline int LateStart(std::string const& aRoot, bool aHasTrouble)
+{
+  constexpr int kAttempts = 3;
+  constexpr std::int64_t kLateMs = 5600;
+  constexpr std::int64_t kCrashAfterMs = 3000;
+  trial_run trial{ aRoot,
+                   { .mExecutors = 11,
+                     .mAdjust = [](std::size_t aIndex, executor::options& aOptions) {
+                       aOptions.mDownMs = 2000;
+                       aOptions.mLabels = { aIndex == 1 ? "b" : "a", aIndex == 0 ? "r0" : "r1" };
+                     } } };
+  StartCase(trial);
+  for (int job = 3; job <= 22; ++job) {
+    MustSubmit(trial, "/sweep/", Id(job), Tasks(3, 1000, 0, 1000), 1000);
+  }
+  SleepMs(2500);
+  auto& executor = *trial->mExecutors[0];
+  executor.mLateMs = kLateMs;
+  executor.mLateStarts = aHasTrouble ? kAttempts : 0;
+  MustSubmit(trial, "/bulk/", Id(1), Tasks(1, 4000, 1, 20000), 20000);
+  auto const from = NowMs();
+  // Another job, which only the second executor may run, makes that one the better fit.
+  SleepMs(500);
+  auto other = Tasks(1, 4000, 4, 15000);
+  other["required_label"] = "b";
+  MustSubmit(trial, "/bulk/", Id(2), other, 15000);
+  SleepMs(from + kCrashAfterMs - NowMs());
+  if (aHasTrouble) {
+    executor.CrashAndKeepId();
+  }
+  SleepMs(12000);
+  auto const runs = trial->mWorld.RunsOf(Id(1));
+  std::int64_t longest = 0;
+  for (std::size_t first = 0; first < runs.size(); ++first) {
+    for (std::size_t second = first + 1; second < runs.size(); ++second) {
+      auto const end = [](seen_run const& aRun) { return aRun.mTo == 0 ? NowMs() : aRun.mTo; };
+      auto const overlap = std::min(end(runs[first]), end(runs[second])) -
+                           std::max(runs[first].mFrom, runs[second].mFrom);
+      longest = std::max(longest, overlap);
+    }
+  }
+  Record("two runs of the task at the same time for " + std::to_string(longest) + " ms");
+  return longest > 0 ? 1 : 0;
+}
+
 inline int RunCase(std::string const& aName, std::string const& aRoot, bool aHasTrouble)
 {
   std::map<std::string, std::function<int(std::string const&, bool)>> const cases{
     { "large-job", LargeJob },   { "removed-route", RemovedRoute },
     { "late-crash", LateCrash }, { "reclaim", Reclaim },
-    { "pending", Pending },
+    { "pending", Pending },      { "late-start", LateStart },
   };
   auto const found = cases.find(aName);
   return found == cases.end() ? 2 : found->second(aRoot, aHasTrouble);
--- a/review/standin-4/executor.h
+++ b/review/standin-4/executor.h
@@ -168,6 +168,8 @@
     std::int64_t mGpu = 8;
     std::int64_t mHoldMaxMs = 10000;
     std::int64_t mGangTimeoutMs = 3000;
+    /// Time from a start to the first heartbeat, as on the users' bench.
+    std::int64_t mFirstBeatMs = 1400;
     /// Time from a crash to the next incarnation.
     std::int64_t mDownMs = 2000;
   };
@@ -176,6 +178,9 @@
   std::atomic<bool> mIsUnhealthy = false;
   /// So many runs end as failed from now on, through the executor's own fault.
   std::atomic<int> mFailuresLeft = 0;
+  /// So many start calls get no answer from now on, and are carried out after mLateMs.
+  std::atomic<int> mLateStarts = 0;
+  std::atomic<std::int64_t> mLateMs = 2000;
   std::atomic<std::size_t> mStartCalls = 0;
   std::atomic<std::size_t> mStopCalls = 0;
 
@@ -196,13 +201,22 @@
   /// Times at which it has crashed.
   std::atomic<std::size_t> mCrashes = 0;
 
-  /// Sends heartbeats to the control address of its side from now on.
+  /// Crashes now; it starts again under its id after mOptions.mDownMs.
+  void CrashAndKeepId()
+  {
+    std::lock_guard const lock{ mMutex };
+    mKeepsId = true;
+    Crash();
+  }
+
+  /// Sends heartbeats to the control address of its side from now on, the first one some time
+  /// after each start.
   void Register(address const& aControl)
   {
     std::thread{
       [this, aControl] {
         while (true) {
-          if (IsDown()) {
+          if (IsDown() || IsYoung()) {
             SleepMs(20);
             continue;
           }
@@ -217,6 +231,9 @@
   }
 
 private:
+  /// Marks a call that is carried out late.
+  static constexpr char const* kIsLate = "x-late";
+
   struct run
   {
     std::uint32_t mRun = 0;
@@ -233,6 +250,12 @@
     std::string mHow;
   };
 
+  bool IsYoung()
+  {
+    std::lock_guard const lock{ mMutex };
+    return NowMs() - mBornAt < mOptions.mFirstBeatMs;
+  }
+
   bool IsDown()
   {
     std::lock_guard const lock{ mMutex };
@@ -267,7 +290,9 @@
     mDownUntil = 0;
     mBornAt = NowMs();
     mBorn = UnixMs();
-    mId = mOptions.mId + "-" + std::to_string(mCrashes);
+    if (!mKeepsId) {
+      mId = mOptions.mId + "-" + std::to_string(mCrashes);
+    }
     Record("executor " + mId + " starts");
   }
 
@@ -312,6 +337,25 @@
   std::optional<response> Handle(request const& aRequest)
   {
     auto const body = json::parse(aRequest.mBody);
+    auto const isStart = aRequest.mTarget == "/api/run-start";
+    if (isStart && !aRequest.mHeaders.contains(kIsLate) && mLateStarts > 0) {
+      --mLateStarts;
+      Record("start without an answer, carried out " + std::to_string(mLateMs) + " ms later: " +
+             body.at("task").get<std::string>() + " run " + body.at("run").dump() + " on " + Id());
+      std::thread{
+        [this, late = aRequest]() mutable {
+          late.mHeaders[kIsLate] = "";
+          SleepMs(mLateMs);
+          auto const outcome = Handle(late);
+          Record("late start carried out: status " +
+                 std::to_string(outcome ? outcome->mStatus : 0) + " " +
+                 (outcome ? outcome->mBody : ""));
+        }
+      }.detach();
+      // The caller gives up before.
+      SleepMs(2000);
+      return std::nullopt;
+    }
     std::unique_lock lock{ mMutex };
     if (mDownUntil != 0) {
       return std::nullopt;
@@ -320,7 +364,7 @@
     if (expected != aRequest.mHeaders.end() && expected->second != mId) {
       return Answer(421);
     }
-    if (aRequest.mTarget == "/api/run-start") {
+    if (isStart) {
       ++mStartCalls;
       if (mIsUnhealthy) {
         Record("start refused with 503: " + body.at("task").get<std::string>() + " on " + mId);
@@ -332,7 +376,7 @@
       return Answer(409, "fence");
     }
     mFence = fence;
-    if (aRequest.mTarget == "/api/run-start") {
+    if (isStart) {
       return Start(body);
     }
     if (aRequest.mTarget == "/api/run-stop") {
@@ -504,6 +548,7 @@
   std::mutex mMutex;
   std::condition_variable mHasEnd;
   std::string mId = mOptions.mId;
+  bool mKeepsId = false;
   std::int64_t mDownUntil = 0;
   std::int64_t mBornAt = NowMs();
   std::int64_t mBorn = UnixMs();
