Scheduler: Log what each failed attempt is counted against

Cause: the log of a job that is given up had the count alone, so that it could not be told whether one run was counted several times, whether the limit was that of the queue, or whether another holder had counted before. Change: attempt-failed names the run, the count, the limit and where the limit comes from; job-failed does as well. The counter rattanpond_failed_attempts counts what rattanpond_ends_failed counts by member.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -305,16 +305,23 @@
   // A gang fails as a whole; its failures are counted on its first member.
   auto const counted =
     step.mIsGang ? task_position{ aPosition.mOccurrence, aPosition.mStep, 0 } : aPosition;
+  auto const& ended = aJob.Find(aPosition)->mState;
   auto& task = *aJob.Find(counted);
   ++task.mState.mFailures;
   auto const* const queue = QueueOf(aJob);
   auto const limit = queue == nullptr ? 1U : queue->mMaximumAttempts;
+  auto const* const limitOrigin = queue == nullptr ? "removed-queue" : "queue";
+  mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add();
+  base::Log("scheduler")
+    ->info("attempt-failed task={} run={} node={} gang={} failures={} limit={} limit_of={}",
+           TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang,
+           task.mState.mFailures, limit, limitOrigin);
   if (step.mIsLongRunning || task.mState.mFailures < limit || IsFinal(aJob.Phase())) {
     return;
   }
   base::Log("scheduler")
-    ->info("job-failed job={} task={} failures={}", aJob.Id(), TaskName(aJob.Id(), aPosition),
-           task.mState.mFailures);
+    ->info("job-failed job={} task={} run={} failures={} limit={} limit_of={}", aJob.Id(),
+           TaskName(aJob.Id(), aPosition), ended.mRun, task.mState.mFailures, limit, limitOrigin);
   FailJob(aJob);
 }
 
