Tests: Show gangs that are given up although they have attempts left

The judge of the random losses counted the ends of members as well, not the runs of the gang. Change: gang_failure_test; members of the fake worker may fail by themselves, and those on workers that fail all tasks do. run_recorder counts failed runs of a gang by their numbers, so that the judge asks for as many failed runs as the queue has attempts and allows no start after them.

--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -32,6 +32,9 @@
     /// The next incarnation carries out the delayed orders of the one that has crashed.
     bool mOrdersOutliveCrash = false;
     bool mFailsAll = false;
+    /// Members of gangs that fail by their own fault after half of their time, also if another one
+    /// has failed.
+    std::function<bool(std::string const& aTask, std::uint32_t aRun)> mFailsMember{};
     /// Runs of this job crash the worker once they have run for mCrashDelay.
     std::string mDeadlyJob{};
     base::milliseconds mCrashDelay{ 20 };
@@ -271,14 +274,19 @@
     }
     std::string const own = mFaults.mFailsAll ? "failed" : "done";
     if (auto const* const gang = mRecorder.Gang(aTask, aRun.mRun)) {
+      auto const failsByItself = mFaults.mFailsMember && mFaults.mFailsMember(aTask, aRun.mRun);
+      auto const isFailing = mFaults.mFailsAll || failsByItself;
       if (!gang->mEnd.empty()) {
-        return gang->mEnd == "done" ? "done" : "broken";
+        return gang->mEnd == "done"                  ? "done"
+               : gang->mEnd == "failed" && isFailing ? "failed"
+                                                     : "broken";
       }
       if (aRun.mIsStopping) {
         return now >= aRun.mEndsAt ? "stopped" : "";
       }
       if (gang->mBeganAt) {
-        return now >= *gang->mBeganAt + aRun.mWork ? own : "";
+        auto const work = failsByItself ? aRun.mWork / 2 : aRun.mWork;
+        return now < *gang->mBeganAt + work ? "" : isFailing ? "failed" : "done";
       }
       return now >= aRun.mEndsAt ? "alone" : "";
     }
--- /dev/null
+++ b/source/platform/tests/gang_failure_test.cpp
@@ -0,0 +1,132 @@
+#include "platform/tests/test_cluster.h"
+
+namespace rattanpond::platform {
+
+using base::milliseconds;
+
+namespace {
+
+/// Attempts of a gang in the queues of the test configuration.
+constexpr std::size_t kAttempts = 3;
+
+/// A cluster with one gang, whose members have equal demands.
+struct gang_cluster
+{
+  gang_cluster(int aSides, std::uint32_t aMembers, int aAccelerators)
+    : mCluster{ 2, aSides }
+    , mMembers{ aMembers }
+    , mBody{ JobBody(static_cast<int>(aMembers), aAccelerators, true) }
+  {
+    mCluster.mRecorder.Declare(mId + ".0.0", { .mCount = aMembers, .mIsGang = true });
+    mCluster.mRecorder.SetMaximumAttempts(kAttempts);
+  }
+
+  void SetFailing(std::function<bool(std::string const&, std::uint32_t)> const& aFails)
+  {
+    for (auto const& side : mCluster.mSides) {
+      side->mWorker.mFaults.mFailsMember = aFails;
+    }
+  }
+
+  void Submit() { BOOST_TEST(mCluster.Call(*mCluster.Holder(), "POST", mPath, mBody) == 200U); }
+
+  std::string Member(std::size_t aIndex) const { return mId + ".0.0." + std::to_string(aIndex); }
+
+  /// Waits until all members work in their run of this number.
+  bool IsAtWorkIn(std::size_t aRun)
+  {
+    return mCluster.RunUntil([&] {
+      return mCluster.mRecorder.ActiveRuns() == mMembers &&
+             mCluster.mRecorder.Starts(Member(0)) == aRun;
+    });
+  }
+
+  void RequireStarts(std::size_t aRuns) const
+  {
+    for (std::size_t member = 0; member < mMembers; ++member) {
+      BOOST_TEST(mCluster.mRecorder.Starts(Member(member)) == aRuns);
+    }
+    RequireNoFaults(mCluster);
+  }
+
+  test_cluster mCluster;
+  std::size_t mMembers;
+  std::string mBody;
+  std::string mId = JobId(61);
+  std::string mPath = "/b/" + mId;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gang_failure_test)
+
+// Guards against a gang whose job is shown as failed although it has attempts left: each member
+// that failed in the same run used up an attempt.
+BOOST_AUTO_TEST_CASE(members_that_fail_in_one_run_use_up_one_attempt)
+{
+  gang_cluster gang{ 3, 3, 8 };
+  gang.SetFailing([](std::string const&, std::uint32_t aRun) { return aRun == 1; });
+  gang.Submit();
+  BOOST_TEST(gang.mCluster.ReachesState(gang.mPath, "done"));
+  gang.RequireStarts(2);
+}
+
+// Guards against the opposite: a gang whose members fail together in every run has no more runs
+// than its queue allows.
+BOOST_AUTO_TEST_CASE(a_gang_that_always_fails_has_all_its_attempts_and_no_more)
+{
+  gang_cluster gang{ 2, 4, 4 };
+  gang.SetFailing([](std::string const&, std::uint32_t) { return true; });
+  gang.Submit();
+  BOOST_TEST(gang.mCluster.ReachesState(gang.mPath, "failed"));
+  gang.mCluster.RunFor(milliseconds{ 1000 });
+  gang.RequireStarts(kAttempts);
+}
+
+// Guards against attempts that are counted by member instead of by run: in each run another member
+// fails.
+BOOST_AUTO_TEST_CASE(members_that_fail_by_turns_use_up_the_attempts_of_their_gang)
+{
+  gang_cluster gang{ 3, 3, 8 };
+  gang.SetFailing([&](std::string const& aTask, std::uint32_t aRun) {
+    return aTask == gang.Member(aRun % gang.mMembers);
+  });
+  gang.Submit();
+  BOOST_TEST(gang.mCluster.ReachesState(gang.mPath, "failed"));
+  gang.mCluster.RunFor(milliseconds{ 1000 });
+  gang.RequireStarts(kAttempts);
+}
+
+// Guards against a count that ends with the scheduler: in each run the holder is lost after it has
+// stored the failure of one member, and the next holder receives that of the other one.
+BOOST_AUTO_TEST_CASE(a_run_is_counted_once_across_a_change_of_the_holder)
+{
+  gang_cluster gang{ 2, 2, 8 };
+  auto& cluster = gang.mCluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 3000 };
+  }
+  gang.SetFailing([](std::string const&, std::uint32_t) { return true; });
+  gang.Submit();
+  auto& first = *cluster.mSides[0];
+  auto& second = *cluster.mSides[1];
+  for (std::size_t run = 1; run <= kAttempts; ++run) {
+    BOOST_REQUIRE(gang.IsAtWorkIn(run));
+    cluster.RunFor(milliseconds{ 500 });
+    second.mIsFrozen = true;
+    BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 0; }));
+    BOOST_REQUIRE(cluster.RunUntil([&] {
+      return !first.mWorker.ListsEnd(gang.Member(0)) && !first.mWorker.ListsEnd(gang.Member(1));
+    }));
+    cluster.RestartFront(cluster.Holder() == cluster.mFronts[0].get() ? 0 : 1);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+    second.mIsFrozen = false;
+  }
+  BOOST_TEST(cluster.ReachesState(gang.mPath, "failed"));
+  cluster.RunFor(milliseconds{ 1000 });
+  gang.RequireStarts(kAttempts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanpond::platform
--- a/source/platform/tests/run_recorder.h
+++ b/source/platform/tests/run_recorder.h
@@ -97,7 +97,7 @@
       }
     }
     if (aEndKind == "failed") {
-      ++mFailures[UnitOf(aTask)];
+      mFailedRuns[UnitOf(aTask)].insert(aRun);
     }
     if (auto* const gang = Gang(aTask, aRun); gang != nullptr && gang->mEnd.empty()) {
       gang->mEnd = aEndKind;
@@ -111,7 +111,7 @@
     Note(aTask, aRun, {}, "end " + aEndKind + " acknowledged" + (aIsLapsed ? ", lapsed" : ""));
     auto const unit = UnitOf(aTask);
     if (aEndKind == "failed" && !aIsLapsed) {
-      ++mAcknowledgedFailures[unit];
+      mAcknowledgedFailedRuns[unit].insert(aRun);
     }
     if (aEndKind != "done") {
       return;
@@ -158,8 +158,7 @@
   /// Number of runs of the task, or of its gang, that have ended failed.
   std::uint32_t Failures(std::string const& aTask) const
   {
-    auto const found = mFailures.find(UnitOf(aTask));
-    return found == mFailures.end() ? 0 : found->second;
+    return CountOf(mFailedRuns, UnitOf(aTask));
   }
   /// All events of the tasks of a job, in order.
   std::vector<event> Events(std::string const& aJob) const
@@ -195,6 +194,14 @@
   }
 
 private:
+  using runs_by_unit = std::map<std::string, std::set<std::uint32_t>>;
+
+  static std::uint32_t CountOf(runs_by_unit const& aRuns, std::string const& aUnit)
+  {
+    auto const found = aRuns.find(aUnit);
+    return found == aRuns.end() ? 0 : static_cast<std::uint32_t>(found->second.size());
+  }
+
   static std::string StepOf(std::string const& aTask) { return aTask.substr(0, aTask.rfind('.')); }
 
   /// What ends, fails and is done as one: the gang of a task, or the task.
@@ -206,8 +213,7 @@
 
   std::uint32_t AcknowledgedFailures(std::string const& aTask) const
   {
-    auto const found = mAcknowledgedFailures.find(UnitOf(aTask));
-    return found == mAcknowledgedFailures.end() ? 0 : found->second;
+    return CountOf(mAcknowledgedFailedRuns, UnitOf(aTask));
   }
 
   void CheckDeclared(std::string const& aTask, std::string const& aCheckpoint)
@@ -249,8 +255,9 @@
   std::set<std::string> mEndedDone;
   std::set<std::string> mAcknowledgedDone;
   std::set<std::string> mLostDone;
-  std::map<std::string, std::uint32_t> mFailures;
-  std::map<std::string, std::uint32_t> mAcknowledgedFailures;
+  /// Numbers of the failed runs by unit; several members of a gang may report the same one.
+  runs_by_unit mFailedRuns;
+  runs_by_unit mAcknowledgedFailedRuns;
   std::map<std::string, std::size_t> mStarts;
   std::map<std::string, base::time_point> mStartedAt;
   std::vector<std::string> mFaults;
