Scheduler: Count a failed run of a gang once, whoever reports it

Cause: scheduler::RecordFailure counted messages, not runs: each end `failed` of a member added one to the count of the gang, also with another holder, which had read the first member's end from the store and received the second one itself. Change: the first member of a gang also keeps the number of the last run that was counted; a run that is not higher is not counted again. The number is in the same row as the count, as an entry for a task after the last one, which earlier versions skip. Parts of a large job are written in ascending order, so that no end is stored before the run that it counts for. Why this works: the members of a gang share their run numbers, and the next run starts only once all of them have ended.

--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -163,10 +163,25 @@
   std::string mWorker{};
   std::int64_t mWorkerIncarnationStart = 0;
   std::uint32_t mFailures = 0;
+  /// Number of the last run that has been counted in mFailures; kept for the first member of a
+  /// gang, whose members share the count and the run numbers.
+  std::uint32_t mLastFailedRun = 0;
   std::string mCheckpoint{};
   crash_count mCrashes{};
 
   bool operator==(task_state const&) const = default;
+
+  /// Counts a failed run of a gang, which each of its members may report. Returns false if the run
+  /// has been counted.
+  bool CountGangFailure(std::uint32_t aRun)
+  {
+    if (aRun <= mLastFailedRun) {
+      return false;
+    }
+    mLastFailedRun = aRun;
+    ++mFailures;
+    return true;
+  }
 };
 
 /// Identifies a task within its job.
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -16,10 +16,10 @@
   std::uint32_t mIndex = 0;
   std::uint32_t mStatus = 0;
   std::uint32_t mRun = 0;
-  std::string mWorker;
+  std::string mWorker{};
   std::int64_t mWorkerIncarnationStart = 0;
   std::uint32_t mFailures = 0;
-  std::string mCheckpoint;
+  std::string mCheckpoint{};
 
   static constexpr auto Fields()
   {
@@ -128,7 +128,7 @@
          std::uint64_t{ aPosition.mIndex }, static_cast<std::uint64_t>(aState.mStatus),
          std::uint64_t{ aState.mRun }, std::uint64_t{ std::hash<std::string>{}(aState.mWorker) },
          static_cast<std::uint64_t>(aState.mWorkerIncarnationStart),
-         std::uint64_t{ aState.mFailures },
+         std::uint64_t{ aState.mFailures }, std::uint64_t{ aState.mLastFailedRun },
          std::uint64_t{ std::hash<std::string>{}(aState.mCheckpoint) },
          std::uint64_t{ aState.mCrashes.mCrashes }, std::uint64_t{ aState.mCrashes.mAlone } }) {
     hash = Combine(hash, value);
@@ -138,13 +138,15 @@
 
 } // namespace
 
-/// Encoded states of tasks, without those that have not had a run.
+/// Encoded states of tasks, without those that have not had a run. The entry of a gang's last
+/// failed run follows that of its first member and has the index after its last one: earlier
+/// versions of the program ignore tasks that the job does not have.
 struct job_record::task_states
 {
   std::vector<stored_task> mTasks{};
   std::vector<stored_crashes> mCrashes{};
 
-  void Add(task_position const& aPosition, task_state const& aState)
+  void Add(job_step const& aStep, task_position const& aPosition, task_state const& aState)
   {
     if (aState == task_state{}) {
       return;
@@ -158,6 +160,12 @@
                        .mWorkerIncarnationStart = aState.mWorkerIncarnationStart,
                        .mFailures = aState.mFailures,
                        .mCheckpoint = aState.mCheckpoint });
+    if (aState.mLastFailedRun != 0) {
+      mTasks.push_back({ .mOccurrence = aPosition.mOccurrence,
+                         .mStep = aPosition.mStep,
+                         .mIndex = aStep.mCount,
+                         .mRun = aState.mLastFailedRun });
+    }
     if (aState.mCrashes != crash_count{}) {
       mCrashes.push_back({ .mOccurrence = aPosition.mOccurrence,
                            .mStep = aPosition.mStep,
@@ -290,7 +298,7 @@
   task_states states;
   const_cast<job_record*>(this)->ForEachTask(
     [&](task_position const& aPosition, tracked_task const& aTask) {
-      states.Add(aPosition, aTask.mState);
+      states.Add(Step(aPosition), aPosition, aTask.mState);
     });
   stored_state stored{ .mPhase = mPhase, .mTasks = std::move(states.mTasks) };
   if (states.mCrashes.empty()) {
@@ -320,6 +328,8 @@
     change.mState = EncodeState();
     return change;
   }
+  // In ascending order: the failures of a gang are in the part of its first member, and must not be
+  // stored after the ends of the members that are counted there.
   for (std::uint32_t part = 0; part < mParts.Count(); ++part) {
     auto const fingerprint = FingerprintOf(part);
     if (fingerprint == mStoredParts[part].mFingerprint) {
@@ -331,7 +341,7 @@
     }
     task_states states;
     for (auto const& position : mParts.TasksOf(part)) {
-      states.Add(position, Find(position)->mState);
+      states.Add(Step(position), position, Find(position)->mState);
     }
     change.mParts.push_back({ .mPart = part,
                               .mExpectedVersion = mStoredParts[part].mVersion,
@@ -393,8 +403,14 @@
     return Find(aPosition) != nullptr && (!aPart || mParts.PartOf(aPosition) == *aPart);
   };
   std::vector<std::pair<tracked_task*, task_state>> decodedTasks;
+  std::vector<std::pair<task_position, std::uint32_t>> failedRuns;
   for (auto const& entry : aStates.mTasks) {
     task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
+    task_position const first{ entry.mOccurrence, entry.mStep, 0 };
+    if (isMeant(first) && Step(first).mIsGang && entry.mIndex == Step(first).mCount) {
+      failedRuns.emplace_back(first, entry.mRun);
+      continue;
+    }
     if (!isMeant(position) || entry.mStatus > static_cast<std::uint32_t>(task_status::done)) {
       continue;
     }
@@ -421,6 +437,9 @@
   for (auto& [task, state] : decodedTasks) {
     task->mState = std::move(state);
   }
+  for (auto const& [first, run] : failedRuns) {
+    Find(first)->mState.mLastFailedRun = run;
+  }
   for (auto const& entry : aStates.mCrashes) {
     task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
     if (isMeant(position)) {
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -302,26 +302,30 @@
 void scheduler::RecordFailure(job_record& aJob, task_position const& aPosition)
 {
   auto const& step = aJob.Step(aPosition);
-  // A gang fails as a whole; its failures are counted on its first member.
-  auto const counted =
-    step.mIsGang ? task_position{ aPosition.mOccurrence, aPosition.mStep, 0 } : aPosition;
   auto const& ended = aJob.Find(aPosition)->mState;
-  auto& task = *aJob.Find(counted);
-  ++task.mState.mFailures;
+  // A gang fails as a whole, and several of its members may report the same run. Its failed runs
+  // are counted on its first member.
+  auto& counted = step.mIsGang ? aJob.Tasks(aPosition.mOccurrence, aPosition.mStep).front().mState
+                               : aJob.Find(aPosition)->mState;
+  auto const isNew = !step.mIsGang || counted.CountGangFailure(ended.mRun);
+  counted.mFailures += step.mIsGang ? 0 : 1;
   auto const* const queue = QueueOf(aJob);
   auto const limit = queue == nullptr ? 1U : queue->mMaximumAttempts;
   auto const* const limitOrigin = queue == nullptr ? "removed-queue" : "queue";
-  mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add();
   base::Log("scheduler")
-    ->info("attempt-failed task={} run={} node={} gang={} failures={} limit={} limit_of={}",
-           TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang,
-           task.mState.mFailures, limit, limitOrigin);
-  if (step.mIsLongRunning || task.mState.mFailures < limit || IsFinal(aJob.Phase())) {
+    ->info("attempt-failed task={} run={} node={} gang={} new={} failures={} limit={} limit_of={}",
+           TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang, isNew,
+           counted.mFailures, limit, limitOrigin);
+  if (!isNew) {
+    return;
+  }
+  mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add();
+  if (step.mIsLongRunning || counted.mFailures < limit || IsFinal(aJob.Phase())) {
     return;
   }
   base::Log("scheduler")
     ->info("job-failed job={} task={} run={} failures={} limit={} limit_of={}", aJob.Id(),
-           TaskName(aJob.Id(), aPosition), ended.mRun, task.mState.mFailures, limit, limitOrigin);
+           TaskName(aJob.Id(), aPosition), ended.mRun, counted.mFailures, limit, limitOrigin);
   FailJob(aJob);
 }
 
--- a/source/dispatch/tests/job_parts_test.cpp
+++ b/source/dispatch/tests/job_parts_test.cpp
@@ -92,6 +92,40 @@
   BOOST_TEST(change.mParts.front().mExpectedVersion == 5U);
 }
 
+// Guards against a failed run of a large gang that is counted twice or not at all, as the holder is
+// lost between the transactions that store the ends of its members.
+BOOST_AUTO_TEST_CASE(a_failed_run_is_stored_no_later_than_the_ends_of_its_members)
+{
+  job_description description{ .mQueue = "queue" };
+  description.mSteps.resize(1);
+  description.mSteps[0].mCount = 1000;
+  description.mSteps[0].mIsGang = true;
+  job_record job{ "job", description };
+  StartAll(job);
+  job_record next{ "job", description };
+  auto const store = [&](std::uint64_t aVersion, state_change const& aChange) {
+    for (auto const& part : aChange.mParts) {
+      BOOST_TEST(next.ApplyPart(part.mPart, aVersion, part.mText));
+    }
+    if (aChange.mState) {
+      BOOST_TEST(next.ApplyState(*aChange.mState));
+      job.MarkInParts();
+    }
+    job.MarkPartsStored(aVersion, aChange.mParts);
+  };
+  store(5, job.EncodeChange(kAllParts));
+  auto& last = job.Find({ 0, 0, 999 })->mState;
+  last.mStatus = task_status::waiting;
+  BOOST_TEST(job.Find({ 0, 0, 0 })->mState.CountGangFailure(last.mRun));
+  store(6, job.EncodeChange(1));
+  // The next holder receives the end again.
+  BOOST_TEST((next.Find({ 0, 0, 999 })->mState.mStatus == task_status::active));
+  BOOST_TEST(!next.Find({ 0, 0, 0 })->mState.CountGangFailure(last.mRun));
+  BOOST_TEST(next.Find({ 0, 0, 0 })->mState.mFailures == 3U);
+  store(7, job.EncodeChange(1));
+  CheckSameStates(job, next);
+}
+
 // Guards against a job that is stored as done before all of its tasks are.
 BOOST_AUTO_TEST_CASE(the_phase_is_stored_with_the_last_part)
 {
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -85,6 +85,35 @@
   });
 }
 
+// Guards against a failed run of a gang that the next holder counts again, and against a state that
+// earlier versions of the program cannot read.
+BOOST_AUTO_TEST_CASE(the_last_failed_run_of_a_gang_is_stored)
+{
+  auto description = TwoSteps();
+  description.mSteps[1].mIsGang = true;
+  job_record written{ "job", description };
+  for (auto& member : written.Tasks(0, 1)) {
+    member.mState = { .mStatus = task_status::active, .mRun = 4, .mWorker = "w" };
+  }
+  auto& first = written.Tasks(0, 1).front().mState;
+  BOOST_TEST(first.CountGangFailure(4));
+  BOOST_TEST(!first.CountGangFailure(4));
+  job_record read{ "job", description };
+  BOOST_REQUIRE(read.ApplyState(written.EncodeState()));
+  written.ForEachTask([&](task_position const& aPosition, tracked_task const& aTask) {
+    BOOST_TEST((read.Find(aPosition)->mState == aTask.mState));
+  });
+  auto& known = read.Tasks(0, 1).front().mState;
+  BOOST_TEST(!known.CountGangFailure(4));
+  BOOST_TEST(known.CountGangFailure(5));
+  BOOST_TEST(known.mFailures == 2U);
+  // Like an earlier version, a record without the gang has no use for its entry.
+  job_record earlier{ "job", TwoSteps() };
+  BOOST_REQUIRE(earlier.ApplyState(written.EncodeState()));
+  BOOST_TEST(earlier.Find({ 0, 1, 0 })->mState.mFailures == 1U);
+  BOOST_TEST(earlier.Find({ 0, 1, 2 })->mState.mRun == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_state_changes_nothing)
 {
   job_record job{ "job", TwoSteps() };
