Scheduler: Charge a worker once for a failed run of a gang

Callers of other jobs could find a sound worker closed for 6 s, and to gangs for 12 s more, since two members of one gang had failed there in one run. Evidence: a_failed_run_of_a_gang_is_one_failure_for_its_worker fails on the code before: of four whole workers three are used within 1 s. Change: the unit that a worker is charged with is the task, or the step of a gang.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -281,7 +281,8 @@
     task.mState.mStatus = task_status::waiting;
     if (aEnd.mEnd == run_end::failed) {
       if (mFailures.IndicatesWorkerFault(aJob.Id(), task.mState.mWorker)) {
-        health.Failed(aEnd.mTask, now);
+        // A run of a gang fails once, however many of its members were on the worker.
+        health.Failed(step.mIsGang ? StepName(aJob.Id(), aPosition) : aEnd.mTask, now);
       }
       if (task.mStartedAt != base::time_point{} &&
           now - task.mStartedAt < worker_health::kEarlyFailure &&
--- a/source/dispatch/worker_health.h
+++ b/source/dispatch/worker_health.h
@@ -15,9 +15,9 @@
 class worker_health
 {
 public:
-  /// Number of distinct tasks that must fail without a success in between before the worker is
-  /// quarantined.
-  static constexpr std::size_t kDistinctTasks = 2;
+  /// Number of distinct tasks or gangs that must fail without a success in between before the
+  /// worker is quarantined.
+  static constexpr std::size_t kDistinctUnits = 2;
   /// Failures older than this are not counted.
   static constexpr base::milliseconds kFailureWindow{ 12'000 };
   /// Time after which a quarantined worker is used again.
@@ -59,15 +59,16 @@
 
   bool IsSuspect(base::time_point aNow) const { return aNow < mSuspectUntil; }
 
-  void Failed(std::string const& aTask, base::time_point aNow)
+  /// A run has failed. aUnit: what fails as a whole, a task or the step of a gang.
+  void Failed(std::string const& aUnit, base::time_point aNow)
   {
-    mFailures.push_back({ aTask, aNow });
+    mFailures.push_back({ aUnit, aNow });
     RemoveExpiredFailures(aNow);
-    std::set<std::string> tasks;
+    std::set<std::string> units;
     for (auto const& failure : mFailures) {
-      tasks.insert(failure.mTask);
+      units.insert(failure.mUnit);
     }
-    if (tasks.size() >= kDistinctTasks) {
+    if (units.size() >= kDistinctUnits) {
       Quarantine(aNow);
     }
   }
@@ -90,7 +91,7 @@
 private:
   struct failure
   {
-    std::string mTask;
+    std::string mUnit;
     base::time_point mAt;
   };
 
--- a/source/platform/tests/gang_failure_test.cpp
+++ b/source/platform/tests/gang_failure_test.cpp
@@ -127,6 +127,27 @@
   gang.RequireStarts(kAttempts);
 }
 
+// Guards against a sound worker that stands idle for seconds: two members of a gang failed there in
+// one run, which counted as the failures of two tasks.
+BOOST_AUTO_TEST_CASE(a_failed_run_of_a_gang_is_one_failure_for_its_worker)
+{
+  gang_cluster gang{ 4, 2, 4 };
+  auto& cluster = gang.mCluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 1000 };
+  }
+  gang.SetFailing([](std::string const&, std::uint32_t aRun) { return aRun == 1; });
+  gang.Submit();
+  BOOST_TEST(cluster.ReachesState(gang.mPath, "done"));
+  // Tasks that take up all workers.
+  auto const next = JobId(62);
+  cluster.mRecorder.Declare(next + ".0.0", { .mCount = 4 });
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/b/" + next, JobBody(4, 8)) == 200U);
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 4; },
+                              dispatch::worker_health::kQuarantineDuration / 6));
+  gang.RequireStarts(2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
