Scheduler: Credit all workers of a gang that is done

Callers of gangs waited 1.5 s for other workers, since one of two workers on which a gang had just succeeded was still suspect. Cause: one fact that comes as several messages, the other way round: the first end marks all members as done, so that the ends of the others match no active run, and worker_health::Succeeded was called for the first worker only. Evidence: a_gang_that_is_done_clears_the_workers_of_all_its_members fails on the code before, by the 1.5 s of the preference. Change: the success counts for the worker of each member, if its incarnation is still the same. Result: gang_failure_test passes.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -167,6 +167,8 @@
                           identifier aIdentifier);
   void CarryOver(job_record& aJob, task_position const& aPosition, std::int64_t aIncarnationStart);
   found_task FindTask(std::string const& aName);
+  /// Returns the session with the worker incarnation of an active run, or null.
+  session* SessionOf(task_state const& aRun);
   /// Returns the task if the run is its active one on the worker's current incarnation.
   found_task FindActiveRun(session const& aSession, std::string const& aTask, std::uint32_t aRun);
   /// The members of a gang end together, but the worker lists the last ones a little longer.
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -203,6 +203,14 @@
   return { .mJob = job, .mTask = task, .mPosition = parsed->mPosition };
 }
 
+scheduler::session* scheduler::SessionOf(task_state const& aRun)
+{
+  auto const found = mSessions.find(aRun.mWorker);
+  auto const isCurrent = found != mSessions.end() && aRun.mStatus == task_status::active &&
+                         found->second->mReport.mIncarnationStart == aRun.mWorkerIncarnationStart;
+  return isCurrent ? found->second.get() : nullptr;
+}
+
 scheduler::found_task scheduler::FindActiveRun(session const& aSession, std::string const& aTask,
                                                std::uint32_t aRun)
 {
@@ -272,8 +280,12 @@
     }
     task.mState.mStatus = task_status::done;
     if (step.mIsGang) {
-      // The members of a gang end together; one successful end counts for all.
+      // The members of a gang end together; one successful end counts for all, and for the workers
+      // of all.
       for (auto& member : aJob.Tasks(aPosition.mOccurrence, aPosition.mStep)) {
+        if (auto* const session = SessionOf(member.mState); session != nullptr) {
+          session->mHealth.Succeeded();
+        }
         member.mState.mStatus = task_status::done;
       }
     }
--- a/source/platform/tests/gang_failure_test.cpp
+++ b/source/platform/tests/gang_failure_test.cpp
@@ -148,6 +148,36 @@
   gang.RequireStarts(2);
 }
 
+// Guards against workers that stay suspect although a gang has succeeded on them: the first end
+// counted for the whole gang, but only for its own worker.
+BOOST_AUTO_TEST_CASE(a_gang_that_is_done_clears_the_workers_of_all_its_members)
+{
+  gang_cluster gang{ 6, 2, 8 };
+  auto& cluster = gang.mCluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWorkOf = [&](std::string const& aTask) {
+      return aTask.starts_with(gang.mId) ? dispatch::worker_health::kEarlyFailure / 2
+                                         : milliseconds{ 20'000 };
+    };
+    side->mWorker.mProgressTime = milliseconds{ 20'000 };
+  }
+  auto const others = JobId(62);
+  cluster.mRecorder.Declare(others + ".0.0", { .mCount = 4 });
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/b/" + others, JobBody(4, 8)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 4; }));
+  gang.SetFailing([](std::string const&, std::uint32_t aRun) { return aRun == 1; });
+  gang.Submit();
+  BOOST_TEST(cluster.ReachesState(gang.mPath, "done"));
+  gang.SetFailing({});
+  auto const next = JobId(63);
+  cluster.mRecorder.Declare(next + ".0.0", { .mCount = 2, .mIsGang = true });
+  BOOST_TEST(cluster.Call(*cluster.Holder(), "POST", "/b/" + next, gang.mBody) == 200U);
+  // A gang waits for that long for workers that are not suspect.
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.mRecorder.Starts(next + ".0.0.0") == 1; },
+                              dispatch::kLongestPreference / 2));
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
