Dispatch: Keep the parts of a state that is stored in part

Cause: a full read applied the rows and then reset each job without a row for its phase, together with the versions of the parts just read. The next transaction expected no such rows, and the conflict was taken for another process's write. Change: jobs without a phase are reset before the rows are applied, so that the parts of the read are kept back with their versions, as those of the feed are, until the phase comes. Result: large_job_test passes, also for a standby that reads the state in part and becomes the holder later.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -234,22 +234,33 @@
 void replica::ApplyFullRead(followed_table const& aTable, platform::read_result const& aRead)
 {
   Apply(Deletions(aTable.mName, mVersions, aRead));
+  auto const isStateOfOthers = &aTable == &mDispatchRows && !mOptions.mIsWriter();
+  auto const present = Keys(aRead);
+  // Before the rows: the parts of a job may be stored before its phase, and their versions are the
+  // conditions of the transactions that replace them.
+  if (isStateOfOthers) {
+    ResetMissingStates(present);
+  }
   Apply(aRead.mRows);
-  if (&aTable == &mDispatchRows && !mOptions.mIsWriter()) {
-    ResetMissingStates(aRead);
+  if (isStateOfOthers) {
+    ResetMissingParts(present);
   }
 }
 
-void replica::ResetMissingStates(platform::read_result const& aRead)
+void replica::ResetMissingStates(std::set<std::string> const& aPresent)
 {
-  auto const present = Keys(aRead);
   for (auto& [id, job] : mJobs) {
-    if (!present.contains(kStatePrefix + id)) {
+    if (!aPresent.contains(kStatePrefix + id)) {
       job->ResetState();
-      continue;
     }
+  }
+}
+
+void replica::ResetMissingParts(std::set<std::string> const& aPresent)
+{
+  for (auto& [id, job] : mJobs) {
     for (std::uint32_t part = 0; job->IsInParts() && part < job->Parts().Count(); ++part) {
-      if (!present.contains(PartKey(id, part))) {
+      if (!aPresent.contains(PartKey(id, part))) {
         job->ResetPart(part);
       }
     }
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -155,7 +156,10 @@
 
   boost::asio::awaitable<void> Follow(followed_table& aTable);
   void ApplyFullRead(followed_table const& aTable, platform::read_result const& aRead);
-  void ResetMissingStates(platform::read_result const& aRead);
+  /// Resets the jobs whose row with the phase is missing in a full read.
+  void ResetMissingStates(std::set<std::string> const& aPresent);
+  /// Resets the parts of jobs whose rows are missing in a full read.
+  void ResetMissingParts(std::set<std::string> const& aPresent);
   void HandleStoreFailure();
   void HandleStoreAnswer(std::uint64_t aVersion);
   void ApplyDispatchRow(platform::store_row const& aRow);
--- a/source/platform/tests/large_job_test.cpp
+++ b/source/platform/tests/large_job_test.cpp
@@ -8,9 +8,9 @@
 
 constexpr int kLargeJob = 1000;
 
-std::string SmallTasks(int aCount)
+std::string SmallTasks(int aCount, int aMillicores = 500)
 {
-  base::json const step{ { "count", aCount }, { "cpu", 500 }, { "mem_mb", 100 } };
+  base::json const step{ { "count", aCount }, { "cpu", aMillicores }, { "mem_mb", 100 } };
   return base::json{ { "spec", "x" }, { "steps", { step } } }.dump();
 }
 
@@ -76,6 +76,74 @@
   }));
 }
 
+// Guards against a holder that steps down for ever: all fronts were lost while the first state of a
+// large job was being stored, and the next holder took its parts for those of another process.
+BOOST_AUTO_TEST_CASE(a_state_that_is_stored_in_part_stops_no_scheduler)
+{
+  large_job_cluster cluster;
+  auto const large = "/b/" + JobId(kLargeJob);
+  auto const other = "/u/" + JobId(1);
+  for (auto const& front : cluster.mFronts) {
+    front->mStoreEndpoint.mOnTransaction = [](fake_row_store::client_transaction const& aCall) {
+      return aCall.Writes(dispatch::kStatePrefix) ? fake_row_store::transaction_fault::refused
+                                                  : fake_row_store::transaction_fault::none;
+    };
+  }
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", large, SmallTasks(1200, 50)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Rows(dispatch::kPartPrefix) > 0; }));
+  BOOST_REQUIRE(cluster.Rows(dispatch::kStatePrefix) == 0U);
+  cluster.RestartFront(0);
+  cluster.RestartFront(1);
+  // So that the next plan differs.
+  cluster.mSides[0]->mWorkerState = "draining";
+  cluster.mSides[0]->SendHeartbeat("draining");
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", other, JobBody(2, 8)) == 200U);
+  BOOST_TEST(cluster.ReachesState(other, "done", milliseconds{ 8000 }));
+  BOOST_TEST(cluster.ReachesState(large, "done", milliseconds{ 40'000 }));
+  RequireNoFaults(cluster);
+}
+
+// Guards against tasks that run twice: a standby read the tables in full while the first state of a
+// large job was being stored, and did not know the parts that it had read.
+BOOST_AUTO_TEST_CASE(a_state_that_is_read_in_part_is_completed_by_what_follows)
+{
+  large_job_cluster cluster{ milliseconds{ 6000 } };
+  auto const large = "/b/" + JobId(kLargeJob);
+  auto isHeld = true;
+  for (auto const& front : cluster.mFronts) {
+    front->mStoreEndpoint.mOnTransaction = [&](fake_row_store::client_transaction const& aCall) {
+      return isHeld && aCall.Writes(dispatch::kStatePrefix)
+               ? fake_row_store::transaction_fault::held
+               : fake_row_store::transaction_fault::none;
+    };
+  }
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", large, SmallTasks(1200, 50)) == 200U);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Rows(dispatch::kPartPrefix) > 0; }));
+  auto& standby = cluster.Standby();
+  auto const reads = standby.mStoreEndpoint.mTableReads;
+  cluster.mStore.DiscardHistory();
+  cluster.mStore.Put(dispatch::kDispatchTable, "note", "x");
+  BOOST_REQUIRE(cluster.RunUntil([&] { return standby.mStoreEndpoint.mTableReads > reads; }));
+  cluster.RunFor(milliseconds{ 300 });
+  isHeld = false;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 1200; }));
+  cluster.Holder()->mIsFrozen = true;
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() == &standby; }));
+  BOOST_TEST(cluster.RunUntil(
+    [&] {
+      return cluster.Call(standby, "GET", large) == 200U &&
+             base::json::parse(cluster.mLastBody).at("state") == "done";
+    },
+    milliseconds{ 30'000 }));
+  std::size_t started = 0;
+  for (auto const& side : cluster.mSides) {
+    started += side->mWorker.mStarted;
+  }
+  BOOST_TEST(started == 1200U);
+  RequireNoFaults(cluster);
+}
+
 // Guards against tasks that run again after an update of the program: the former version has stored
 // the state of a job with many tasks in one row.
 BOOST_AUTO_TEST_CASE(a_state_in_one_row_is_taken_over)
