Dispatch: Keep the definition of a queue that has jobs after its removal

Cause: a queue that the newest configuration lacks was taken for one with a single attempt. Change: the replica keeps the last definition of a removed queue while jobs use it, and the scheduler looks queues up there. Callers are still admitted by the configuration alone.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -30,6 +30,9 @@
 /// pattern: every transaction ends the long poll of every front, so that reads grow with the
 /// product of fronts and jobs. Callers may see a change of their job this much later.
 constexpr base::milliseconds kFollowerReadInterval{ 150 };
+/// A removed queue without jobs is forgotten after this time. A job that was accepted before may
+/// arrive that much later than the configuration, as the two tables are followed separately.
+constexpr base::milliseconds kRemovedQueueRetention{ 60'000 };
 constexpr int kMinimumRetryDelayMs = 60;
 constexpr int kMaximumRetryDelayMs = 250;
 
@@ -470,11 +473,42 @@
                                mConfiguration->mVersion);
     return;
   }
+  KeepRemovedQueues(next);
   mConfiguration = std::make_shared<operator_configuration const>(next);
   base::Log("replica")->info("configuration version={} row={} queues={}", next.mVersion,
                              aRow.mVersion, next.mQueues.size());
 }
 
+void replica::KeepRemovedQueues(operator_configuration const& aNext)
+{
+  auto const now = base::Now();
+  std::set<std::string> used;
+  for (auto const& [id, job] : mJobs) {
+    used.insert(job->Description().mQueue);
+  }
+  std::erase_if(mRemovedQueues, [&](auto const& aEntry) {
+    auto const isDue = now - aEntry.second.mRemovedAt > kRemovedQueueRetention;
+    return aNext.FindQueue(aEntry.first) != nullptr || (isDue && !used.contains(aEntry.first));
+  });
+  if (!mConfiguration) {
+    return;
+  }
+  for (auto const& queue : mConfiguration->mQueues) {
+    if (aNext.FindQueue(queue.mName) == nullptr) {
+      mRemovedQueues[queue.mName] = { .mQueue = queue, .mRemovedAt = now };
+    }
+  }
+}
+
+queue const* replica::FindQueue(std::string const& aName) const
+{
+  if (auto const* const current = mConfiguration ? mConfiguration->FindQueue(aName) : nullptr) {
+    return current;
+  }
+  auto const found = mRemovedQueues.find(aName);
+  return found == mRemovedQueues.end() ? nullptr : &found->second.mQueue;
+}
+
 job_record* replica::FindJob(std::string const& aId)
 {
   auto const found = mJobs.find(aId);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -112,6 +112,9 @@
   {
     return mConfiguration;
   }
+  /// Returns the queue as the configuration, or the last one that had it, defines it; null if this
+  /// process has seen none. Jobs of a removed queue go on by its last definition.
+  queue const* FindQueue(std::string const& aName) const;
   /// Version of the newest row of the configuration, whether it could be read or not.
   std::uint64_t ConfigurationRowVersion() const { return mConfigurationRowVersion; }
   /// Versions of the configuration that could not be read; the last readable one stays in force.
@@ -172,6 +175,8 @@
   static void ApplyAddress(address_map& aAddresses, std::string const& aNode,
                            platform::store_row const& aRow);
   void ApplyConfiguration(platform::store_row const& aRow);
+  /// Keeps the definitions of queues that the next configuration no longer has.
+  void KeepRemovedQueues(operator_configuration const& aNext);
 
   options mOptions;
   bool mIsStoreAvailable = true;
@@ -197,7 +202,15 @@
   std::string mRunTimes;
   std::string mSilentSides;
   std::uint64_t mSilentSidesVersion = 0;
+  struct removed_queue
+  {
+    queue mQueue;
+    base::time_point mRemovedAt{};
+  };
+
   std::shared_ptr<operator_configuration const> mConfiguration;
+  /// By name: queues that an earlier configuration had.
+  std::map<std::string, removed_queue> mRemovedQueues;
   std::uint64_t mConfigurationRowVersion = 0;
   std::uint64_t mRejectedConfigurations = 0;
   /// Send time of the last transaction that met the configuration in a conflict.
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -131,15 +131,14 @@
 
 queue const* scheduler::QueueOf(job_record const& aJob) const
 {
-  auto const& configuration = mOptions.mReplica.Configuration();
-  return configuration ? configuration->FindQueue(aJob.Description().mQueue) : nullptr;
+  return mOptions.mReplica.FindQueue(aJob.Description().mQueue);
 }
 
 std::uint32_t scheduler::PriorityOf(job_record const& aJob) const
 {
-  constexpr std::uint32_t kPriorityOfRemovedQueues = 9;
+  constexpr std::uint32_t kPriorityOfUnknownQueues = 9;
   auto const* const queue = QueueOf(aJob);
-  return queue == nullptr ? kPriorityOfRemovedQueues : queue->mPriority;
+  return queue == nullptr ? kPriorityOfUnknownQueues : queue->mPriority;
 }
 
 std::vector<worker_snapshot> scheduler::WorkerSnapshots(base::time_point aNow)
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -324,7 +324,7 @@
   counted.mFailures += step.mIsGang ? 0 : 1;
   auto const* const queue = QueueOf(aJob);
   auto const limit = queue == nullptr ? 1U : queue->mMaximumAttempts;
-  auto const* const limitOrigin = queue == nullptr ? "removed-queue" : "queue";
+  auto const* const limitOrigin = queue == nullptr ? "unknown-queue" : "queue";
   base::Log("scheduler")
     ->info("attempt-failed task={} run={} node={} gang={} new={} failures={} limit={} limit_of={}",
            TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang, isNew,
