Scheduler: Fail a job whose attempts are used up in the store

Cause: that a job has failed follows from its counts, and was decided only at the moment of counting. By reading, the same holds for a single task whose row is stored without the phase, and for crash counts. Evidence: a_run_that_was_counted_before_can_be_the_last_one has 4 starts in place of 3 on the code before, a_stored_last_attempt_is_final starts tasks of both of its jobs. Change: an end of a run that was counted before is compared with the limit as well, and a waiting task whose stored counts leave no attempt fails its job instead of starting. An unknown queue has no limit there.

--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -109,6 +109,16 @@
   return trial;
 }
 
+/// Whether a waiting task must not start again. aQueue: null if it is unknown, and its limit with
+/// it; aCounted: the task that has the failures, which is the first one of a gang.
+bool HasNoAttemptLeft(queue const* aQueue, job_step const& aStep, task_state const& aTask,
+                      task_state const& aCounted)
+{
+  auto const isExhausted = aQueue != nullptr && !aStep.mIsLongRunning &&
+                           aCounted.mFailures >= std::max(1U, aQueue->mMaximumAttempts);
+  return isExhausted || aTask.mCrashes.IsCause();
+}
+
 /// What keeps all starts from a worker, apart from its health. aIsAnswered: whether its side is
 /// linked and its reports may be answered.
 start_obstacle Barrier(bool aIsAnswered, side_report const& aReport, bool aIsEvacuated,
@@ -263,6 +273,7 @@
   auto const* const queue = QueueOf(aJob);
   auto const wallMs = base::WallClockMilliseconds();
   std::optional<bool> isJobRunning;
+  auto const groupsBefore = static_cast<std::ptrdiff_t>(aGroups.size());
   for (std::uint32_t occurrence = 0; occurrence < description.Runs(); ++occurrence) {
     if (!IsDue(description, occurrence, wallMs)) {
       break;
@@ -304,6 +315,17 @@
                                   : std::min(group.mWaitingSince, task.mWaitingSince);
           group.mIndexes.push_back(index);
           auto const& counted = shape.mIsGang ? tasks.front() : task;
+          // A former holder may have been lost before it had stored that the job has failed.
+          if (HasNoAttemptLeft(queue, shape, task.mState, counted.mState)) {
+            base::Log("scheduler")
+              ->info(
+                "job-failed job={} task={} run={} failures={} crashes={} why=\"no attempt left\"",
+                aJob.Id(), TaskName(aJob.Id(), { occurrence, step, index }), task.mState.mRun,
+                counted.mState.mFailures, task.mState.mCrashes.mCrashes);
+            aGroups.erase(aGroups.begin() + groupsBefore, aGroups.end());
+            FailJob(aJob);
+            return;
+          }
           group.mIsLastAttempt = group.mIsLastAttempt || counted.mState.mFailures + 1 >= attempts;
           if (!task.mFailedOn.empty()) {
             group.mFailedOn.push_back(task.mFailedOn);
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -329,10 +329,9 @@
     ->info("attempt-failed task={} run={} node={} gang={} new={} failures={} limit={} limit_of={}",
            TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang, isNew,
            counted.mFailures, limit, limitOrigin);
-  if (!isNew) {
-    return;
-  }
-  mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add();
+  mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add(isNew ? 1 : 0);
+  // Also for a run that was counted before: the holder that did may have been lost before it had
+  // stored that the job has failed.
   if (step.mIsLongRunning || counted.mFailures < limit || IsFinal(aJob.Phase())) {
     return;
   }
--- a/source/platform/tests/gang_failure_test.cpp
+++ b/source/platform/tests/gang_failure_test.cpp
@@ -127,6 +127,82 @@
   gang.RequireStarts(kAttempts);
 }
 
+// Guards against a start after the last attempt: the holder was lost after it had counted the last
+// failed run of a large gang, and before it had stored that the job has failed.
+BOOST_AUTO_TEST_CASE(a_run_that_was_counted_before_can_be_the_last_one)
+{
+  constexpr std::uint32_t kMembers = 200;
+  gang_cluster gang{ 4, kMembers, 0 };
+  auto& cluster = gang.mCluster;
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 3000 };
+  }
+  gang.mBody = base::json{
+    { "spec", "x" },
+    { "steps", { { { "count", kMembers }, { "cpu", 50 }, { "mem_mb", 10 }, { "gang", true } } } }
+  }.dump();
+  gang.SetFailing(
+    [&](std::string const& aTask, std::uint32_t) { return aTask == gang.Member(kMembers - 1); });
+  gang.Submit();
+  for (std::size_t run = 1; run <= kAttempts; ++run) {
+    BOOST_REQUIRE(gang.IsAtWorkIn(run));
+  }
+  auto isPhaseRejected = true;
+  for (auto const& front : cluster.mFronts) {
+    front->mStoreEndpoint.mOnTransaction = [&](fake_row_store::client_transaction const& aCall) {
+      return isPhaseRejected && aCall.Writes(dispatch::kStatePrefix)
+               ? fake_row_store::transaction_fault::rejected
+               : fake_row_store::transaction_fault::none;
+    };
+  }
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == 0; }));
+  cluster.RunFor(milliseconds{ 600 });
+  isPhaseRejected = false;
+  cluster.RestartFront(cluster.Holder() == cluster.mFronts[0].get() ? 0 : 1);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+  BOOST_TEST(cluster.ReachesState(gang.mPath, "failed"));
+  gang.RequireStarts(kAttempts);
+}
+
+// Guards against the same, and against a start after a success, if the workers list no end any
+// more: what the former holder has stored of the tasks decides.
+BOOST_AUTO_TEST_CASE(a_stored_last_attempt_is_final)
+{
+  struct stored_job
+  {
+    bool mIsGang = false;
+    base::json mTasks;
+    std::string mPhase;
+  };
+  // Fields: occurrence, step, index, status, run, worker, its incarnation, failures, checkpoint.
+  std::vector<stored_job> const jobs{
+    { false, { { 0, 0, 0, 0, 3, "side-0", 1, 3, "" } }, "failed" },
+    { true,
+      { { 0, 0, 0, 0, 3, "side-0", 1, 3, "" }, { 0, 0, 1, 0, 3, "side-1", 1, 0, "" } },
+      "failed" },
+  };
+  test_cluster cluster;
+  for (std::size_t index = 0; index < jobs.size(); ++index) {
+    auto const id = JobId(static_cast<int>(70 + index));
+    dispatch::job_description job{ .mQueue = "bulk", .mService = "service", .mWorkspace = "t" };
+    job.mSteps.push_back({ .mCount = static_cast<std::uint32_t>(jobs[index].mTasks.size()),
+                           .mDemand = { .mMillicores = 500 },
+                           .mIsGang = jobs[index].mIsGang });
+    cluster.mStore.Put(dispatch::kDispatchTable, dispatch::kStatePrefix + id,
+                       base::json::array({ 1, jobs[index].mTasks }).dump());
+    cluster.mStore.Put(dispatch::kDispatchTable, dispatch::kJobPrefix + id,
+                       base::Encode(job).dump());
+  }
+  cluster.RestartFront(cluster.Holder() == cluster.mFronts[0].get() ? 0 : 1);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+  for (std::size_t index = 0; index < jobs.size(); ++index) {
+    auto const id = JobId(static_cast<int>(70 + index));
+    BOOST_TEST(cluster.ReachesState("/b/" + id, jobs[index].mPhase, milliseconds{ 4000 }));
+    BOOST_TEST(cluster.mRecorder.Starts(id + ".0.0.0") == 0U);
+    BOOST_TEST(cluster.mRecorder.Starts(id + ".0.0.1") == 0U);
+  }
+}
+
 // Guards against a sound worker that stands idle for seconds: two members of a gang failed there in
 // one run, which counted as the failures of two tasks.
 BOOST_AUTO_TEST_CASE(a_failed_run_of_a_gang_is_one_failure_for_its_worker)
