Scheduler: Complete a gang of which one member is stored as done

Callers of a gang of more than 768 members could see a part of it start again (TWICE), by the reading of a review: the members that are done together are stored in several transactions, and the holder and a worker are lost in between. Cause: one end stands for all members, but only in the memory of the holder that received it. Evidence: the third job of a_stored_last_attempt_and_a_stored_success_are_final, which has one member done and one waiting in the store, starts again on the code before. Change: a gang with a member that is done is completed before its waiting members are placed.

--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -384,6 +384,7 @@
   ForEachTask([](task_position const&, tracked_task& aTask) { aTask = {}; });
   mPhase = job_phase::queued;
   mIsTerminated = false;
+  mIsInParts = false;
   mStoredParts.assign(mStoredParts.size(), {});
   mPendingParts.clear();
   MarkStateStored(0, mPhase);
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -182,6 +182,8 @@
   void SendOrders(session& aSession);
 
   void RecordRunEnd(job_record& aJob, task_position const& aPosition, ended_run const& aEnd);
+  /// Marks all members of a gang as done, since one of them is.
+  void CompleteGang(job_record& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
   void RecordFailure(job_record& aJob, task_position const& aPosition);
   /// Shows the job as failed and stops its runs.
   void FailJob(job_record& aJob);
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -119,6 +119,12 @@
   return isExhausted || aTask.mCrashes.IsCause();
 }
 
+bool IsAnyDone(std::vector<tracked_task> const& aTasks)
+{
+  return std::ranges::any_of(
+    aTasks, [](tracked_task const& aTask) { return aTask.mState.mStatus == task_status::done; });
+}
+
 /// What keeps all starts from a worker, apart from its health. aIsAnswered: whether its side is
 /// linked and its reports may be answered.
 start_obstacle Barrier(bool aIsAnswered, side_report const& aReport, bool aIsEvacuated,
@@ -284,6 +290,13 @@
       }
       auto const trial = TrialTask(aJob, occurrence, step);
       auto const& shape = description.mSteps[step];
+      // A former holder may have been lost before it had stored the end of all members.
+      if (shape.mIsGang && IsAnyDone(aJob.Tasks(occurrence, step)) &&
+          !aJob.IsStepDone(occurrence, step)) {
+        CompleteGang(aJob, occurrence, step);
+        UpdatePhase(aJob);
+        continue;
+      }
       waiting_group group{ .mJob = aJob.Id(),
                            .mOccurrence = occurrence,
                            .mStep = step,
@@ -315,7 +328,7 @@
                                   : std::min(group.mWaitingSince, task.mWaitingSince);
           group.mIndexes.push_back(index);
           auto const& counted = shape.mIsGang ? tasks.front() : task;
-          // A former holder may have been lost before it had stored that the job has failed.
+          // Or before it had stored that the job has failed.
           if (HasNoAttemptLeft(queue, shape, task.mState, counted.mState)) {
             base::Log("scheduler")
               ->info(
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -280,14 +280,7 @@
     }
     task.mState.mStatus = task_status::done;
     if (step.mIsGang) {
-      // The members of a gang end together; one successful end counts for all, and for the workers
-      // of all.
-      for (auto& member : aJob.Tasks(aPosition.mOccurrence, aPosition.mStep)) {
-        if (auto* const session = SessionOf(member.mState); session != nullptr) {
-          session->mHealth.Succeeded();
-        }
-        member.mState.mStatus = task_status::done;
-      }
+      CompleteGang(aJob, aPosition.mOccurrence, aPosition.mStep);
     }
   } else {
     task.mState.mStatus = task_status::waiting;
@@ -312,6 +305,19 @@
   UpdatePhase(aJob);
 }
 
+void scheduler::CompleteGang(job_record& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  // The members of a gang end together; one successful end counts for all, and for the workers of
+  // all.
+  for (auto& member : aJob.Tasks(aOccurrence, aStep)) {
+    if (auto* const session = SessionOf(member.mState); session != nullptr) {
+      session->mHealth.Succeeded();
+    }
+    member.mState.mStatus = task_status::done;
+  }
+  mDirty.Insert(aJob.Id());
+}
+
 void scheduler::RecordFailure(job_record& aJob, task_position const& aPosition)
 {
   auto const& step = aJob.Step(aPosition);
--- a/source/platform/tests/gang_failure_test.cpp
+++ b/source/platform/tests/gang_failure_test.cpp
@@ -166,7 +166,7 @@
 
 // Guards against the same, and against a start after a success, if the workers list no end any
 // more: what the former holder has stored of the tasks decides.
-BOOST_AUTO_TEST_CASE(a_stored_last_attempt_is_final)
+BOOST_AUTO_TEST_CASE(a_stored_last_attempt_and_a_stored_success_are_final)
 {
   struct stored_job
   {
@@ -180,6 +180,9 @@
     { true,
       { { 0, 0, 0, 0, 3, "side-0", 1, 3, "" }, { 0, 0, 1, 0, 3, "side-1", 1, 0, "" } },
       "failed" },
+    { true,
+      { { 0, 0, 0, 2, 1, "side-0", 1, 0, "" }, { 0, 0, 1, 0, 1, "side-1", 1, 0, "" } },
+      "done" },
   };
   test_cluster cluster;
   for (std::size_t index = 0; index < jobs.size(); ++index) {
