Side: Count the lease of a worker only while the machine is awake

Cause: the side counted the lease on CLOCK_BOOTTIME, which runs on during a suspension; the worker's steady clock does not. It reported the lease as over 4 s too early. It ticks only while the worker has runs or does not answer. The side's own permission to renew leases still ends in real time.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t kMaximumConcurrentOrders = 4;
 /// One in this many unreadable heartbeats is logged.
 constexpr std::uint64_t kUnreadableLogInterval = 50;
+/// Resolution of the time that counts towards the lease of a worker that does not answer.
+constexpr milliseconds kAwakeInterval{ 250 };
+constexpr milliseconds kAwakeIdleWait{ 60'000 };
 /// A worker that has reported its departure ends within this time.
 constexpr milliseconds kDepartureDelay{ 500 };
 /// Starts without an answer are remembered for this long. The worker may carry them out "seconds
@@ -62,6 +65,7 @@
   , mOrderTimer{ mOptions.mContext }
   , mReportTimer{ mOptions.mContext }
   , mPollTimer{ mOptions.mContext }
+  , mAwakeTimer{ mOptions.mContext }
 {
   // The timer never expires; cancelling it wakes all order loops that wait on it.
   mOrderTimer.expires_at(asio::steady_timer::time_point::max());
@@ -92,6 +96,8 @@
     mOptions.mContext, [this] { return PollLoop(); }, asio::detached);
   asio::co_spawn(
     mOptions.mContext, [this] { return ReportLoop(); }, asio::detached);
+  asio::co_spawn(
+    mOptions.mContext, [this] { return AwakeLoop(); }, asio::detached);
   for (std::size_t index = 0; index < kMaximumConcurrentOrders; ++index) {
     asio::co_spawn(
       mOptions.mContext, [this] { return OrderLoop(); }, asio::detached);
@@ -239,7 +245,8 @@
     // An earlier incarnation of this process may have renewed the lease until now. As long as the
     // worker's clock is unknown, the lease is assumed to have its full length from now on.
     mLease = {};
-    mLease.mReadAt = base::Now();
+    mAwake.Advance(awake_time::clock::now());
+    mLease.mReadAt = mAwake.Total();
     mLease.mLatestDeadlineMs = LatestForeignDeadline();
     // The scheduler knows of leases of this incarnation only from reports that name it, so answers
     // to earlier reports do not allow to renew them.
@@ -328,13 +335,31 @@
   return wait;
 }
 
-milliseconds side_agent::LeaseLeft(base::time_point aNow) const
+milliseconds side_agent::LeaseLeft() const
 {
   if (mLease.mLatestDeadlineMs <= mLease.mClockMs) {
     return milliseconds{ 0 };
   }
   auto const whole = MaximumRealTime(milliseconds{ mLease.mLatestDeadlineMs - mLease.mClockMs });
-  return std::max(milliseconds{ 0 }, whole - (aNow - mLease.mReadAt));
+  return std::max(milliseconds{ 0 }, whole - (mAwake.Total() - mLease.mReadAt));
+}
+
+awaitable<void> side_agent::AwakeLoop()
+{
+  while (true) {
+    auto const hasLease = mHeartbeat && LeaseLeft() > milliseconds{ 0 };
+    auto const mayHaveRuns =
+      mState == worker_state::absent || !mLists.mRunning.empty() || !mOpenStarts.empty();
+    auto const isCounting = hasLease && mayHaveRuns;
+    boost::system::error_code ignored;
+    mAwakeTimer.expires_after(isCounting ? kAwakeInterval : kAwakeIdleWait);
+    co_await mAwakeTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    auto const gap = mAwake.Advance(awake_time::clock::now());
+    if (isCounting && gap > milliseconds{ 0 }) {
+      base::Log("side")->info("suspension-possible gap_ms={} lease_left_ms={}", gap.count(),
+                              LeaseLeft().count());
+    }
+  }
 }
 
 awaitable<bool> side_agent::ReadRunLists(milliseconds aWait)
@@ -390,7 +415,8 @@
   // It may have carried out starts that were meant for its predecessor. Their deadlines are far
   // ahead on its own clock, so its lease may have the maximum length.
   mLease.mClockMs = 0;
-  mLease.mReadAt = base::Now();
+  mAwake.Advance(awake_time::clock::now());
+  mLease.mReadAt = mAwake.Total();
   mLease.mLatestDeadlineMs = mOptions.mSettings.mMaximumLease.count();
   mLease.mConfirmedDeadlineMs = 0;
   if (mState != worker_state::absent) {
@@ -457,7 +483,8 @@
     StopUnansweredStarts();
   }
   mHasRunLists = true;
-  mLease.mReadAt = now;
+  mAwake.Advance(awake_time::clock::now());
+  mLease.mReadAt = mAwake.Total();
   SettleOpenStarts();
   if (mState == worker_state::absent) {
     mState = mHeartbeat->mState;
@@ -532,6 +559,8 @@
 {
   mMustReport = true;
   mReportTimer.cancel();
+  // The changes that are reported also decide whether a lease matters.
+  mAwakeTimer.cancel();
 }
 
 awaitable<void> side_agent::ReportLoop()
@@ -541,9 +570,9 @@
       auto const isBusy = !mLists.mRunning.empty() || !mLists.mEnded.empty() || !mOrders.empty();
       auto const interval = isBusy ? kBusyReportInterval : kIdleReportInterval;
       auto due = mReportedAt + interval;
-      if (mState == worker_state::absent && mHeartbeat && LeaseLeft(mReportedAt).count() > 0) {
+      if (mState == worker_state::absent && mHeartbeat && LeaseLeft().count() > 0) {
         // The scheduler waits for the report that the lease of a lost worker is over.
-        due = std::min(due, mReportedAt + LeaseLeft(mReportedAt) + milliseconds{ 1 });
+        due = std::min(due, base::Now() + std::max(LeaseLeft(), kAwakeInterval));
       }
       auto const left = std::max(milliseconds{ 1 }, due - base::Now());
       boost::system::error_code ignored;
@@ -571,11 +600,12 @@
     return;
   }
   auto const now = base::Now();
+  mAwake.Advance(awake_time::clock::now());
   side_report report{ .mSequence = ++mSequence,
                       .mNode = mOptions.mSettings.mNode,
                       .mDomain = mOptions.mSettings.mFailureDomain,
                       .mState = mState,
-                      .mLeaseLeft = LeaseLeft(now) };
+                      .mLeaseLeft = LeaseLeft() };
   if (mHeartbeat) {
     report.mWorker = mHeartbeat->mWorker;
     report.mIncarnationStart = mHeartbeat->mIncarnationStart;
@@ -852,7 +882,7 @@
            { "ended", mLists.mEnded.size() },
            { "acknowledged", mAcknowledged },
            { "open_starts", mOpenStarts.size() },
-           { "lease_left_ms", LeaseLeft(base::Now()).count() } };
+           { "lease_left_ms", LeaseLeft().count() } };
 }
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "dispatch/awake_time.h"
 #include "dispatch/messages.h"
 #include "net/http_message.h"
 #include "net/link_server.h"
@@ -48,7 +49,8 @@
   struct lease_state
   {
     std::int64_t mClockMs = 0;
-    base::time_point mReadAt{};
+    /// On mAwake: the worker's clock stands still whenever this machine is suspended.
+    base::milliseconds mReadAt{ 0 };
     std::int64_t mLatestDeadlineMs = 0;
     /// Latest lease deadline that the worker has certainly received.
     std::int64_t mConfirmedDeadlineMs = 0;
@@ -86,6 +88,8 @@
 
   boost::asio::awaitable<void> PollLoop();
   boost::asio::awaitable<void> ReportLoop();
+  /// Advances mAwake while a lease matters.
+  boost::asio::awaitable<void> AwakeLoop();
   boost::asio::awaitable<void> OrderLoop();
   boost::asio::awaitable<void> ReadRunListsForResults();
   boost::asio::awaitable<bool> ReadRunLists(base::milliseconds aWait);
@@ -129,7 +133,8 @@
   /// which never will.
   void SettleOpenStarts();
   bool MayRenewLease(base::time_point aNow) const;
-  base::milliseconds LeaseLeft(base::time_point aNow) const;
+  /// Longest time until the worker's lease expires, unless the machine is suspended.
+  base::milliseconds LeaseLeft() const;
 
   options mOptions;
   std::unique_ptr<platform::worker_client> mWorker;
@@ -151,6 +156,8 @@
   std::uint64_t mPolls = 0;
   sent_poll mRunListsPoll;
   lease_state mLease;
+  /// Advanced before each use as the present time.
+  awake_time mAwake;
   std::int64_t mAcknowledged = 0;
 
   std::uint64_t mSequence = 0;
@@ -182,6 +189,7 @@
   boost::asio::steady_timer mOrderTimer;
   boost::asio::steady_timer mReportTimer;
   boost::asio::steady_timer mPollTimer;
+  boost::asio::steady_timer mAwakeTimer;
   bool mMustReport = false;
   base::time_point mReportedAt{};
   std::uint64_t mUnreadableHeartbeats = 0;
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -160,6 +160,20 @@
     mId = std::move(aNextId);
   }
 
+  /// The machine stands still, and with it the worker's clock; runs do not work.
+  void Suspend() { mSuspendedAt = base::Now(); }
+
+  void Resume()
+  {
+    auto const time = base::Now() - *mSuspendedAt;
+    mSuspendedAt.reset();
+    mStartedAt += time;
+    for (auto& entry : mRuns) {
+      entry.second.mBeganAt += time;
+      entry.second.mEndsAt += time;
+    }
+  }
+
   std::int64_t IncarnationStart() const { return mIncarnationStart; }
   void SetIncarnationStart(std::int64_t aStart) { mIncarnationStart = aStart; }
 
@@ -242,14 +256,19 @@
              : mCheckpoint;
   }
 
-  std::int64_t Clock() const { return 1000 + (base::Now() - mStartedAt).count(); }
+  std::int64_t Clock() const
+  {
+    return 1000 + (mSuspendedAt.value_or(base::Now()) - mStartedAt).count();
+  }
 
   void Tick()
   {
     mTimer.expires_after(base::milliseconds{ 5 });
     mTimer.async_wait([this](boost::system::error_code aFailure) {
       if (!aFailure) {
-        Advance();
+        if (!mSuspendedAt) {
+          Advance();
+        }
         Tick();
       }
     });
@@ -391,7 +410,7 @@
     auto const incarnationStart = mIncarnationStart;
     net::http_response lost;
     lost.mTransfer = net::response_transfer::none;
-    while (mFaults.mIsSuspended) {
+    while (mFaults.mIsSuspended || mSuspendedAt) {
       co_await Wait(kStep);
     }
     if (mFaults.mIsDown || incarnationStart != mIncarnationStart) {
@@ -563,6 +582,7 @@
   std::int64_t mIncarnationStart = 1'767'269'633'000;
   std::int64_t mHeartbeats = 0;
   base::time_point mStartedAt = base::Now();
+  std::optional<base::time_point> mSuspendedAt;
 };
 
 } // namespace rattanpond::platform
