Callers: Refuse no call that another front may have carried out

Cause: a front that the store turns away forwards the call; the first front stores the job and gets no answer, the next one refuses since the key is gone, and that refusal was passed on. The open outcome was looked at only where no front had answered. Evidence: forwarded ... status=0, then status=401, and no outcome-open. open_outcome_test: 401 or 404 in all six variants before (key, route or both withdrawn; the holder or a standby turned away). Change: any refusal becomes 504 while another front's outcome is open; 410 to a DELETE is an acknowledgement and stays. A job that has become too large under a new configuration is answered 504 as well if an attempt before had no answer.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -86,6 +86,15 @@
   return text;
 }
 
+/// Whether the caller may conclude from the response that its call has changed nothing.
+bool IsRefusal(http_request const& aRequest, http_response const& aResponse)
+{
+  // A cancellation of a job that does not exist is acknowledged with 410.
+  auto const isAcknowledged = aRequest.mMethod == "DELETE" && aResponse.mStatus == 410;
+  return aRequest.mMethod != "GET" && aResponse.mStatus >= 400 && aResponse.mStatus != 504 &&
+         !isAcknowledged;
+}
+
 bool Contains(std::vector<platform::store_row> const& aRows, std::string const& aKey)
 {
   return std::ranges::any_of(aRows, [&](platform::store_row const& aRow) {
@@ -185,7 +194,6 @@
 awaitable<http_response> caller_api::Handle(http_request aRequest)
 {
   auto const deadline = Deadline(aRequest, base::Now());
-  auto const isRead = aRequest.mMethod == "GET";
   // Only fronts set this header.
   aRequest.mHeaders.Set(kConfigurationVersionHeader, "0");
   auto const mustForward = !mOptions.mReplica.IsStoreAvailable() ||
@@ -204,18 +212,19 @@
                                                std::max(mForwardedVersion, ConfigurationVersion()));
   if (forwarded.mAnswer) {
     mForwardedVersion = std::max(mForwardedVersion, forwarded.mConfigurationVersion);
-    co_return std::move(*forwarded.mAnswer);
-  }
-  if (!ownResponse) {
-    ownResponse = co_await HandleLocally(std::move(aRequest));
+  } else if (!ownResponse) {
+    auto copy = aRequest;
+    ownResponse = co_await HandleLocally(std::move(copy));
   }
-  // This front may refuse the call only if no other front may still carry it out.
-  auto const isRefusal = ownResponse->mStatus >= 400 && ownResponse->mStatus != 504;
-  if (forwarded.mIsOutcomeUnknown && isRefusal && !isRead) {
-    base::Log("caller")->info("outcome-open status={} said=504", ownResponse->mStatus);
+  auto response = std::move(forwarded.mAnswer ? *forwarded.mAnswer : *ownResponse);
+  // A refusal holds only for the front that gives it, and another one may have carried out the
+  // call.
+  if (forwarded.mIsOutcomeUnknown && IsRefusal(aRequest, response)) {
+    base::Log("caller")->info("outcome-open method={} path={} status={} said=504", aRequest.mMethod,
+                              aRequest.mTarget, response.mStatus);
     co_return Refusal(504, "the outcome is unknown");
   }
-  co_return std::move(*ownResponse);
+  co_return response;
 }
 
 awaitable<http_response> caller_api::HandleForwarded(http_request aRequest)
@@ -306,7 +315,7 @@
     auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow);
     auto const bytes = transaction.mChanges.front().mValue->size();
     if (bytes > mOptions.mSettings.mMaximumRowBytes) {
-      co_return TooLarge(id, bytes);
+      co_return isOutcomeUnknown ? Refusal(504, "the outcome is unknown") : TooLarge(id, bytes);
     }
     auto const timeout = std::clamp(deadline - base::Now(), milliseconds{ 50 }, kAttemptTimeout);
     auto const sentAt = base::Now();
@@ -339,8 +348,8 @@
       co_return Plain(200, "accepted");
     }
     if (result.mOutcome == commit_outcome::rejected) {
-      // Earlier attempts were the same, so none of them can take effect.
-      co_return TooLarge(id, bytes);
+      // An earlier attempt may have been smaller, under another configuration.
+      co_return isOutcomeUnknown ? Refusal(504, "the outcome is unknown") : TooLarge(id, bytes);
     }
     isOutcomeUnknown = isOutcomeUnknown || result.mOutcome == commit_outcome::unknown;
     auto const isLastAttempt =
