Callers: Accept no job that was cancelled before

Cause: a DELETE for an unknown job left nothing behind, and the transaction that accepts a job did not look for a cancellation. All three cases of cancel_race_test failed before: the front frozen or its transaction late in the store, the holder or a standby submitting, cancelled at either. Change: the cancellation is stored before 410 is said, and an acceptance expects that there is none; the first of the two in the store decides. The submission is then refused with 503, which no late attempt can make untrue. The holder removes such a cancellation after twice status_s; rows of a job that is accepted after that stay. One condition more in each acceptance, one write for each DELETE of a job that does not exist.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -50,13 +50,14 @@
   return aNow + std::max(milliseconds{ value } - kAnswerMargin, milliseconds{ 100 });
 }
 
-/// Commits only if the store has no such job and if the configuration that admitted the job is
-/// still the current one.
+/// Commits only if the store has no such job, if nobody has cancelled it before, and if the
+/// configuration that admitted the job is still the current one.
 platform::row_transaction AcceptTransaction(std::string const& aId, job_description const& aJob,
                                             std::uint64_t aConfigurationRow)
 {
   platform::row_transaction transaction;
   transaction.mConditions.push_back({ kDispatchTable, kJobPrefix + aId, 0 });
+  transaction.mConditions.push_back({ kDispatchTable, kCancellationPrefix + aId, 0 });
   transaction.mConditions.push_back(
     { platform::kOperatorTable, platform::kConfigurationKey, aConfigurationRow });
   transaction.mChanges.push_back({ kDispatchTable, kJobPrefix + aId, EncodeDescription(aJob) });
@@ -261,15 +262,20 @@
   if (method != "GET" && method != "DELETE") {
     co_return Plain(405, "the method must be GET, POST or DELETE");
   }
+  std::optional<http_response> unknown;
   if (mOptions.mReplica.FindJob(call.mPathRemainder) == nullptr) {
-    if (auto refusal = co_await LookUpJob(call.mPathRemainder, Deadline(aRequest, base::Now()))) {
-      co_return std::move(*refusal);
-    }
+    unknown = co_await LookUpJob(call.mPathRemainder, Deadline(aRequest, base::Now()));
   }
   if (method == "GET") {
-    co_return Status(call);
+    co_return unknown ? std::move(*unknown) : Status(call);
+  }
+  if (unknown && unknown->mStatus != 410) {
+    co_return std::move(*unknown);
   }
-  co_return co_await Cancel(std::move(aRequest), std::move(call));
+  // A submission of the job may still wait in another front or in the store, so that the absence of
+  // the job proves nothing. Once the cancellation is stored, the job is not accepted any more.
+  auto cancelled = co_await Cancel(std::move(aRequest), std::move(call));
+  co_return unknown&& cancelled.mStatus == 200 ? std::move(*unknown) : std::move(cancelled);
 }
 
 http_response caller_api::TooLarge(std::string const& aJob, std::size_t aBytes) const
@@ -282,6 +288,15 @@
                       " that the store takes for one job");
 }
 
+http_response caller_api::CancelledBefore() const
+{
+  auto response = Plain(503, "the job was cancelled before it was accepted");
+  auto const wait =
+    std::chrono::ceil<std::chrono::seconds>(RowRetention(mOptions.mSettings.mStatusRetention));
+  response.mHeaders.Add("Retry-After", std::to_string(wait.count()));
+  return response;
+}
+
 awaitable<http_response> caller_api::Submit(http_request aRequest, admitted_call aCall)
 {
   auto const id = aCall.mPathRemainder;
@@ -347,6 +362,12 @@
         .Record(std::chrono::duration<double>(took).count());
       co_return Plain(200, "accepted");
     }
+    if (Contains(result.mCurrent, kCancellationPrefix + id)) {
+      // No attempt can take effect any more: all expect that the job has not been cancelled.
+      base::Log("caller")->info("submit job={} status=503 outcome=cancelled took_ms={}", id,
+                                took.count());
+      co_return CancelledBefore();
+    }
     if (result.mOutcome == commit_outcome::rejected) {
       // An earlier attempt may have been smaller, under another configuration.
       co_return isOutcomeUnknown ? Refusal(504, "the outcome is unknown") : TooLarge(id, bytes);
--- a/source/dispatch/caller_api.h
+++ b/source/dispatch/caller_api.h
@@ -58,6 +58,8 @@
   bool IsConfigurationBehind(net::http_request const& aRequest) const;
   /// The refusal of a job that the store does not take; it never runs.
   net::http_response TooLarge(std::string const& aJob, std::size_t aBytes) const;
+  /// The refusal of a job that a caller has cancelled before any front accepted it.
+  net::http_response CancelledBefore() const;
   boost::asio::awaitable<net::http_response> Submit(net::http_request aRequest,
                                                     admitted_call aCall);
   boost::asio::awaitable<net::http_response> Cancel(net::http_request aRequest,
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -31,6 +31,13 @@
 inline constexpr char const* kSidePrefix = "side/";
 inline constexpr char const* kFrontPrefix = "front/";
 
+/// Time for which the rows of an ended job, or of a cancellation, stay in the store.
+inline base::milliseconds RowRetention(base::milliseconds aStatusRetention)
+{
+  // Twice the time for which callers may still query the status of a job.
+  return 2 * aStatusRetention;
+}
+
 std::string PartKey(std::string const& aJob, std::uint32_t aPart);
 
 /// Row of the scheduler term: identifies the process that holds it.
@@ -94,6 +101,8 @@
 
   /// Version of the job's cancellation row; 0 if the job is not cancelled.
   std::uint64_t CancellationVersion(std::string const& aJob) const;
+  /// By job: versions of the cancellation rows, also of jobs that were never accepted.
+  std::map<std::string, std::uint64_t> const& Cancellations() const { return mCancellations; }
 
   term_record const& Term() const { return mTerm; }
   std::uint64_t TermVersion() const { return mTermVersion; }
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -361,13 +361,17 @@
 
 void scheduler::RemoveEndedJobs(base::time_point aNow)
 {
-  // Twice the time for which callers may still query the status of a job.
-  auto const retention = 2 * mOptions.mSettings.mStatusRetention;
+  auto const retention = RowRetention(mOptions.mSettings.mStatusRetention);
   constexpr std::size_t kRowsPerJob = 3;
   constexpr std::size_t kMaximumChanges = 90;
   platform::row_transaction transaction;
   std::vector<std::string> jobs;
   std::map<std::string, std::vector<std::uint32_t>> removedParts;
+  // A job may have been accepted after the removal of a cancellation without a job.
+  std::erase_if(mEndedJobs, [&](auto const& aEntry) {
+    auto const* const job = mOptions.mReplica.FindJob(aEntry.first);
+    return job != nullptr && !IsFinal(job->Phase());
+  });
   for (auto& [id, removableSince] : mEndedJobs) {
     auto const room = kMaximumChanges - transaction.mChanges.size();
     if (removableSince + retention > aNow || room < kRowsPerJob) {
@@ -391,8 +395,10 @@
     if (!isWhole) {
       continue;
     }
-    for (auto const* const prefix : { kJobPrefix, kStatePrefix, kCancellationPrefix }) {
-      transaction.mChanges.push_back({ kDispatchTable, prefix + id, std::nullopt });
+    transaction.mChanges.push_back({ kDispatchTable, kCancellationPrefix + id, std::nullopt });
+    if (job != nullptr) {
+      transaction.mChanges.push_back({ kDispatchTable, kJobPrefix + id, std::nullopt });
+      transaction.mChanges.push_back({ kDispatchTable, kStatePrefix + id, std::nullopt });
     }
     jobs.push_back(id);
   }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -332,7 +332,8 @@
   bool mIsPlanningScheduled = false;
   bool mMustPlan = false;
   boost::asio::steady_timer mFlushTimer;
-  /// Time at which each ended job ended, until its rows are removed.
+  /// Time at which each ended job ended, until its rows are removed. Also jobs that were cancelled
+  /// and never accepted.
   std::map<std::string, base::time_point> mEndedJobs;
 };
 
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -726,11 +726,16 @@
 {
   mFailures.RemoveJob(aId);
   mPermits.RemoveJob(aId);
-  mEndedJobs.emplace(aId, base::Now());
+  mEndedJobs[aId] = base::Now();
 }
 
 void scheduler::ApplyCancellations()
 {
+  for (auto const& entry : mOptions.mReplica.Cancellations()) {
+    if (mOptions.mReplica.FindJob(entry.first) == nullptr) {
+      mEndedJobs.emplace(entry.first, base::Now());
+    }
+  }
   for (auto const& entry : mOptions.mReplica.Jobs()) {
     auto const& id = entry.first;
     auto& job = *entry.second;
