Scheduler: Count a crash only once it is certain

Cause: a side that does not reach its worker reports the lease as over. ExpireLeases took that for a crash, and nothing that came later took the count back. The log of the case has three worker-crash lines in the millisecond of "the side reported that the lease is over", each followed by end-of-other-run ... end=lapsed under the same born; a newer incarnation was never reported.

Change: a suspected crash is kept apart from the count, in the job's state, in entries that earlier versions ignore. Only crashes that count fail a job. With five of either kind the task waits for the verdicts, so that a deadly task whose workers stay away is started five times at most. The doubt about a run that may be on the successor is of the same kind, and was in memory only.

--- a/source/dispatch/crash_count.h
+++ b/source/dispatch/crash_count.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace rattanpond::dispatch {
 
@@ -24,9 +28,12 @@
   /// beside other runs theirs; the second bound holds for tasks that are never alone.
   bool IsCause() const
   {
-    return (mCrashes >= kCrashes && mAlone >= kCrashesAlone) || mCrashes >= kCrashesBesideOthers;
+    return (mCrashes >= kCrashes && mAlone >= kCrashesAlone) || HasReachedLimit();
   }
 
+  /// Whether the task must not start again, even if some of the crashes are only suspected.
+  bool HasReachedLimit() const { return mCrashes >= kCrashesBesideOthers; }
+
   /// Whether the next run starts on a worker without other runs, which receives none meanwhile.
   /// aHasProvenRun: a run of the same job has outlived its probation, so that its tasks do not
   /// crash workers in general.
@@ -39,4 +46,24 @@
   static constexpr std::uint32_t kCrashesBesideOthers = 5;
 };
 
+/// A worker that may have crashed under a run: it was out of reach until its lease expired, or a
+/// later incarnation of it may have the run. A cut connection looks the same, so the crash counts
+/// only once it is certain.
+struct suspected_crash
+{
+  std::string mWorker{};
+  std::int64_t mWorkerIncarnationStart = 0;
+  std::uint32_t mRun = 0;
+  bool mIsAlone = false;
+  /// Time at which this process recorded the suspicion; not stored, and not set for one that was
+  /// read from the store.
+  base::time_point mSince{};
+
+  bool operator==(suspected_crash const& aOther) const
+  {
+    return mWorker == aOther.mWorker && mWorkerIncarnationStart == aOther.mWorkerIncarnationStart &&
+           mRun == aOther.mRun && mIsAlone == aOther.mIsAlone;
+  }
+};
+
 } // namespace rattanpond::dispatch
--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -170,7 +170,9 @@
   /// gang, whose members share the count and the run numbers.
   std::uint32_t mLastFailedRun = 0;
   std::string mCheckpoint{};
+  /// Crashes that are certain.
   crash_count mCrashes{};
+  std::vector<suspected_crash> mSuspectedCrashes{};
   /// Time on the store's clock, in milliseconds, until which a call to start an earlier run may
   /// still be carried out by mWorker or a later incarnation of it. The task starts nowhere else
   /// until then. 0 if there is no such call.
@@ -180,6 +182,23 @@
 
   bool MayReceiveCalls() const { return mStatus == task_status::active || mLateStartUntilMs != 0; }
 
+  /// Crashes that are certain or suspected.
+  crash_count PossibleCrashes() const
+  {
+    auto count = mCrashes;
+    for (auto const& crash : mSuspectedCrashes) {
+      count.Add(crash.mIsAlone);
+    }
+    return count;
+  }
+
+  /// Whether the task waits until it is known which of its suspected crashes were some: it must not
+  /// crash further workers, and its job fails only for crashes that are certain.
+  bool AwaitsCrashes() const
+  {
+    return !mSuspectedCrashes.empty() && PossibleCrashes().HasReachedLimit();
+  }
+
   /// Counts a failed run of a gang, which each of its members may report. Returns false if the run
   /// has been counted.
   bool CountGangFailure(std::uint32_t aRun)
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -136,15 +136,23 @@
                                                                           : std::string{}) } }) {
     hash = Combine(hash, value);
   }
+  for (auto const& crash : aState.mSuspectedCrashes) {
+    for (std::uint64_t const value :
+         { std::uint64_t{ std::hash<std::string>{}(crash.mWorker) },
+           static_cast<std::uint64_t>(crash.mWorkerIncarnationStart), std::uint64_t{ crash.mRun },
+           std::uint64_t{ crash.mIsAlone } }) {
+      hash = Combine(hash, value);
+    }
+  }
   return hash;
 }
 
 } // namespace
 
-/// Encoded states of tasks, without those that have not had a run. Three kinds of entries follow
+/// Encoded states of tasks, without those that have not had a run. Four kinds of entries follow
 /// that of their task and have an index after the last one of the step, since earlier versions of
 /// the program ignore tasks that the job does not have: the last failed run of a gang, the time
-/// until which a start may be carried out late, and the worker's identifier.
+/// until which a start may be carried out late, the worker's identifier, and suspected crashes.
 struct job_record::task_states
 {
   std::vector<stored_task> mTasks{};
@@ -182,6 +190,15 @@
                          .mIndex = IdentifierIndex(aStep, aPosition.mIndex),
                          .mWorker = aState.mIdentifier });
     }
+    for (auto const& crash : aState.mSuspectedCrashes) {
+      mTasks.push_back({ .mOccurrence = aPosition.mOccurrence,
+                         .mStep = aPosition.mStep,
+                         .mIndex = SuspectedCrashIndex(aStep, aPosition.mIndex),
+                         .mRun = crash.mRun,
+                         .mWorker = crash.mWorker,
+                         .mWorkerIncarnationStart = crash.mWorkerIncarnationStart,
+                         .mFailures = crash.mIsAlone ? 1U : 0U });
+    }
     if (aState.mCrashes != crash_count{}) {
       mCrashes.push_back({ .mOccurrence = aPosition.mOccurrence,
                            .mStep = aPosition.mStep,
@@ -203,6 +220,11 @@
     return LateStartIndex(aStep, aStep.mCount) + aTask;
   }
 
+  static std::uint32_t SuspectedCrashIndex(job_step const& aStep, std::uint32_t aTask)
+  {
+    return IdentifierIndex(aStep, aStep.mCount) + aTask;
+  }
+
   static constexpr auto Fields()
   {
     return std::make_tuple(base::Field("tasks", &task_states::mTasks),
@@ -435,6 +457,7 @@
   std::vector<std::pair<task_position, std::uint32_t>> failedRuns;
   std::vector<std::pair<task_position, std::int64_t>> lateStarts;
   std::vector<std::pair<task_position, std::string>> identifiers;
+  std::vector<std::pair<task_position, suspected_crash>> suspectedCrashes;
   for (auto const& entry : aStates.mTasks) {
     task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
     task_position const first{ entry.mOccurrence, entry.mStep, 0 };
@@ -445,13 +468,25 @@
     if (Find(first) != nullptr && entry.mIndex > Step(first).mCount) {
       auto const& step = Step(first);
       auto const isLateStart = entry.mIndex < task_states::IdentifierIndex(step, 0);
-      auto const base =
-        isLateStart ? task_states::LateStartIndex(step, 0) : task_states::IdentifierIndex(step, 0);
+      auto const isIdentifier =
+        !isLateStart && entry.mIndex < task_states::SuspectedCrashIndex(step, 0);
+      auto const base = isLateStart    ? task_states::LateStartIndex(step, 0)
+                        : isIdentifier ? task_states::IdentifierIndex(step, 0)
+                                       : task_states::SuspectedCrashIndex(step, 0);
       task_position const task{ entry.mOccurrence, entry.mStep, entry.mIndex - base };
-      if (isMeant(task) && isLateStart) {
+      if (!isMeant(task)) {
+        continue;
+      }
+      if (isLateStart) {
         lateStarts.emplace_back(task, entry.mWorkerIncarnationStart);
-      } else if (isMeant(task)) {
+      } else if (isIdentifier) {
         identifiers.emplace_back(task, entry.mWorker);
+      } else {
+        suspectedCrashes.emplace_back(
+          task, suspected_crash{ .mWorker = entry.mWorker,
+                                 .mWorkerIncarnationStart = entry.mWorkerIncarnationStart,
+                                 .mRun = entry.mRun,
+                                 .mIsAlone = entry.mFailures != 0 });
       }
       continue;
     }
@@ -490,6 +525,9 @@
   for (auto& [position, identifier] : identifiers) {
     Find(position)->mState.mIdentifier = std::move(identifier);
   }
+  for (auto& [position, crash] : suspectedCrashes) {
+    Find(position)->mState.mSuspectedCrashes.push_back(std::move(crash));
+  }
   for (auto const& entry : aStates.mCrashes) {
     task_position const position{ entry.mOccurrence, entry.mStep, entry.mIndex };
     if (isMeant(position)) {
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -55,9 +55,6 @@
   base::time_point mOrderedAt{};
   /// Whether the side has reported that a call to start or stop the run had no answer.
   bool mHasUnansweredCall = false;
-  /// The crash count without the last crash. Restored if the run turns up on the next incarnation,
-  /// since it was not on the one that crashed.
-  std::optional<crash_count> mCrashesBeforeDoubt;
   /// Time at which a process that only follows the store learned of the run; not set if it was
   /// stored before.
   base::time_point mRunSeenAt{};
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -250,6 +250,7 @@
     StoreCheckpoints(now);
     WatchSilentSides(now);
     ExpireLeases(now);
+    SettleSuspectedCrashes(now);
     WatchUnknownEnds(now);
     WatchOverdueStarts(now);
     SendPendingStops();
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -109,6 +109,14 @@
     wait_report mReport;
   };
 
+  /// What became of a suspected crash.
+  enum class crash_verdict
+  {
+    open,
+    confirmed,
+    refuted
+  };
+
   /// A job whose state is part of a transaction.
   struct batched_job
   {
@@ -188,14 +196,25 @@
   void RecordFailure(job_record& aJob, task_position const& aPosition);
   /// Shows the job as failed and stops its runs.
   void FailJob(job_record& aJob);
-  /// The worker has crashed: counts it for the tasks whose runs had hardly begun there, and fails
-  /// the jobs of those that cause such crashes. aIsOnWorker selects the runs of the lost
-  /// incarnation. Returns whether a task is known to be suspect that ran there alone.
+  /// The worker has crashed, or may have: counts it for the tasks whose runs had hardly begun
+  /// there, and fails the jobs of those that are certain to cause such crashes. aIsOnWorker selects
+  /// the runs of the lost incarnation, aIsCertain those of them that were on it when it crashed.
+  /// Returns whether a task is known to be suspect that ran there alone.
   bool RecordCrash(std::string const& aNode,
-                   std::function<bool(tracked_task const&)> const& aIsOnWorker);
-  /// Undoes the last crash count of a run that has turned up on the successor: it was not on the
-  /// incarnation that crashed. Returns whether there was such a count.
-  bool TakeBackCrash(job_record& aJob, tracked_task& aTask);
+                   std::function<bool(tracked_task const&)> const& aIsOnWorker,
+                   std::function<bool(tracked_task const&)> const& aIsCertain);
+  /// Fails the job if the task is certain to crash its workers.
+  void FailCauseOfCrashes(job_record& aJob, task_position const& aPosition);
+  /// Whether the worker has crashed: its next incarnation shows that, or a long silence; the same
+  /// incarnation shows that it has not.
+  crash_verdict Judge(tracked_task const& aTask, suspected_crash const& aCrash,
+                      base::time_point aNow) const;
+  /// Counts the suspected crashes that have become certain and removes those that were none.
+  void SettleSuspectedCrashes(base::time_point aNow);
+  void LogVerdict(std::string const& aTask, suspected_crash const& aCrash, crash_verdict aVerdict);
+  /// Removes the suspected crash of a run that has turned up on the successor: it was not on the
+  /// incarnation that crashed. Returns whether there was one.
+  bool TakeBackCrash(job_record& aJob, task_position const& aPosition);
   /// Whether a run of a former holder may have started too recently to show that it does not crash
   /// its worker.
   bool MayHaveHardlyBegun(tracked_task const& aTask) const;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -97,11 +97,13 @@
   auto const& tasks = aJob.Tasks(aOccurrence, aStep);
   auto const rank = [&](std::uint32_t aIndex) {
     auto const& task = tasks[aIndex];
-    return std::pair{ task.mState.mStatus == task_status::active, task.mState.mCrashes.mCrashes };
+    return std::pair{ task.mState.mStatus == task_status::active,
+                      task.mState.PossibleCrashes().mCrashes };
   };
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     auto const& state = tasks[index].mState;
-    if (state.mStatus != task_status::done && state.mCrashes.MustRunAlone(aJob.HasProvenRun()) &&
+    if (state.mStatus != task_status::done &&
+        state.PossibleCrashes().MustRunAlone(aJob.HasProvenRun()) &&
         (!trial || rank(*trial) < rank(index))) {
       trial = index;
     }
@@ -195,7 +197,7 @@
     auto& snapshot = snapshots[found->second];
     snapshot.mFree -= ReservedDemand(aJob.Step(aPosition));
     snapshot.mHasRuns = true;
-    if (aTask.mIsOnProbation && aTask.mState.mCrashes.MustRunAlone(aJob.HasProvenRun()) &&
+    if (aTask.mIsOnProbation && aTask.mState.PossibleCrashes().MustRunAlone(aJob.HasProvenRun()) &&
         snapshot.AcceptsStarts()) {
       snapshot.mBarrier = start_obstacle::probation;
     }
@@ -327,11 +329,12 @@
         auto const hasOtherRun =
           !mTasksWithOtherRuns.empty() &&
           mTasksWithOtherRuns.contains(TaskName(aJob.Id(), { occurrence, step, index }));
-        auto const isHeldBack = (trial && *trial != index && !shape.mIsGang) || hasOtherRun;
-        isAnyActive = isAnyActive || hasOtherRun;
+        auto const mustWait = hasOtherRun || task.mState.AwaitsCrashes();
+        auto const isHeldBack = (trial && *trial != index && !shape.mIsGang) || mustWait;
+        isAnyActive = isAnyActive || mustWait;
         if (task.mState.mStatus == task_status::waiting && !isHeldBack) {
           group.mMustRunAlone =
-            group.mMustRunAlone || task.mState.mCrashes.MustRunAlone(aJob.HasProvenRun());
+            group.mMustRunAlone || task.mState.PossibleCrashes().MustRunAlone(aJob.HasProvenRun());
           if (task.mWaitingSince == base::time_point{}) {
             task.mWaitingSince = aNow;
           }
@@ -515,7 +518,6 @@
     task.mIsStartSettled = false;
     task.mOrderedAt = {};
     task.mHasUnansweredCall = false;
-    task.mCrashesBeforeDoubt.reset();
     task.mReportedCheckpoint.clear();
     task.mProgress = 0;
     task.mProgressInterval = milliseconds{ 0 };
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -103,8 +103,10 @@
 void scheduler::HandleReport(session& aSession, side_report aReport)
 {
   auto const now = base::Now();
-  if (aReport.mState != aSession.mReport.mState ||
-      aReport.mIncarnationStart != aSession.mReport.mIncarnationStart || !aSession.mHasReport) {
+  auto const hasChanged = aReport.mState != aSession.mReport.mState ||
+                          aReport.mIncarnationStart != aSession.mReport.mIncarnationStart ||
+                          !aSession.mHasReport;
+  if (hasChanged) {
     base::Log("scheduler")
       ->info("worker node={} worker={} born={} state={}", aSession.mNode, aReport.mWorker,
              aReport.mIncarnationStart, base::Name(aReport.mState));
@@ -145,6 +147,9 @@
     StopUnlistedRuns(aSession, listed);
     ControlPace(aSession, now);
   }
+  if (hasChanged) {
+    SettleSuspectedCrashes(now);
+  }
   SchedulePlanning();
   SendOrders(aSession);
 }
@@ -153,13 +158,20 @@
                                    std::optional<std::string> const& aSuccessor)
 {
   aSession.mEnds = {};
+  auto const isInDoubt = [&](tracked_task const& aTask) {
+    return MayReceiveCallsFor(aTask.mState, aSession.mReport, aSuccessor) &&
+           !aTask.mIsStartSettled && aTask.mRunStatus != run_status::planned;
+  };
   // A worker that announced its departure is not lost.
   auto const isAnnounced = aSession.mReport.mState == worker_state::draining ||
                            aSession.mReport.mState == worker_state::gone;
   if (!isAnnounced) {
-    auto const hasCulprit = RecordCrash(aSession.mNode, [&](tracked_task const& aTask) {
-      return aTask.mState.mWorkerIncarnationStart < aIncarnationStart;
-    });
+    auto const hasCulprit = RecordCrash(
+      aSession.mNode,
+      [&](tracked_task const& aTask) {
+        return aTask.mState.mWorkerIncarnationStart < aIncarnationStart;
+      },
+      [&](tracked_task const& aTask) { return !isInDoubt(aTask); });
     if (aSession.mHasReport && aSession.mReport.mIncarnationStart != 0 && !hasCulprit) {
       aSession.mHealth.Lost(base::Now());
     }
@@ -171,8 +183,7 @@
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     if (aTask.mState.mWorker == aSession.mNode &&
         aTask.mState.mWorkerIncarnationStart < aIncarnationStart) {
-      if (MayReceiveCallsFor(aTask.mState, aSession.mReport, aSuccessor) &&
-          !aTask.mIsStartSettled && aTask.mRunStatus != run_status::planned) {
+      if (isInDoubt(aTask)) {
         CarryOver(aJob, aPosition, aIncarnationStart);
       } else {
         RequeueTask(aJob, aPosition, "the worker's incarnation is gone");
@@ -335,7 +346,7 @@
     task.mState.mCheckpoint = aEnd.mCheckpoint;
   }
   mDirty.Insert(aJob.Id());
-  TakeBackCrash(aJob, task);
+  TakeBackCrash(aJob, aPosition);
   auto& health = mSessions.at(task.mState.mWorker)->mHealth;
   if (aEnd.mEnd == run_end::done && !step.mIsLongRunning) {
     health.Succeeded();
@@ -510,7 +521,7 @@
         task->mStartedAt = now;
       }
     }
-    if (TakeBackCrash(*activeRun.mJob, *task)) {
+    if (TakeBackCrash(*activeRun.mJob, activeRun.mPosition)) {
       task->mIsOnProbation = true;
     }
     if (run.mPercent != task->mProgress) {
@@ -776,13 +787,15 @@
     auto const isStartUnderWay = aTask.mStartedAt != base::time_point{} &&
                                  aNow <= aTask.mStartedAt + kMaximumOrderAge + kLeaseExpiryMargin;
     if (aNow > end.mAt && !isStartUnderWay) {
-      // A side that reports its worker as absent shows that the worker itself is lost, and not the
-      // path to it.
+      // A side that reports its worker as absent shows that the path to the side is not lost. It
+      // cannot tell a crash of the worker from a cut between the two.
       auto const& node = aTask.mState.mWorker;
       auto const found = mSessions.find(node);
       if (found != mSessions.end() && found->second->mLink && found->second->mHasReport &&
           found->second->mReport.mState == worker_state::absent && crashed.insert(node).second) {
-        RecordCrash(node, [](tracked_task const&) { return true; });
+        RecordCrash(
+          node, [](tracked_task const&) { return true; },
+          [](tracked_task const&) { return false; });
       }
       if (aTask.mOrderedAt != base::time_point{} && !aTask.mIsStartSettled) {
         HoldForLateStart(aJob, aPosition);
--- a/source/dispatch/tests/crash_count_test.cpp
+++ b/source/dispatch/tests/crash_count_test.cpp
@@ -81,6 +81,44 @@
   BOOST_TEST(!read.ApplyState("[[0,[]],[[0,0,1]]]"));
 }
 
+// Guards against a suspicion that is lost with the holder, or that earlier versions of the program
+// read as a crash or not at all: they ignore entries of tasks that the job does not have.
+BOOST_AUTO_TEST_CASE(a_suspected_crash_is_stored_apart_from_the_count)
+{
+  job_description description{ .mQueue = "q" };
+  description.mSteps.resize(1);
+  description.mSteps[0].mCount = 2;
+  job_record written{ "job", description };
+  auto& state = written.Find({ 0, 0, 1 })->mState;
+  state.mRun = 4;
+  state.mSuspectedCrashes = {
+    { .mWorker = "w", .mWorkerIncarnationStart = 77, .mRun = 3, .mIsAlone = true }
+  };
+  BOOST_TEST(written.EncodeState() == R"([0,[[0,0,1,0,4,"",0,0,""],[0,0,8,0,3,"w",77,1,""]]])");
+  job_record read{ "job", description };
+  BOOST_REQUIRE(read.ApplyState(written.EncodeState()));
+  BOOST_TEST((read.Find({ 0, 0, 1 })->mState == state));
+  BOOST_TEST((read.Find({ 0, 0, 0 })->mState == task_state{}));
+}
+
+// Guards against a job that is given up for crashes that are only suspected, and against a task
+// that crashes workers without end while none of the crashes is certain.
+BOOST_AUTO_TEST_CASE(suspected_crashes_hold_a_task_but_fail_no_job)
+{
+  task_state state;
+  for (std::uint32_t run = 1; run <= 4; ++run) {
+    state.mSuspectedCrashes.push_back({ .mWorker = "w", .mRun = run, .mIsAlone = true });
+  }
+  BOOST_TEST(!state.mCrashes.IsCause());
+  BOOST_TEST(state.PossibleCrashes().MustRunAlone(true));
+  BOOST_TEST(!state.AwaitsCrashes());
+  state.mCrashes = Count(1, 0);
+  BOOST_TEST(state.AwaitsCrashes());
+  BOOST_TEST(!state.mCrashes.IsCause());
+  state.mSuspectedCrashes.clear();
+  BOOST_TEST(!state.AwaitsCrashes());
+}
+
 // Guards against innocent runs that go down with the worker of a suspect task.
 BOOST_AUTO_TEST_CASE(a_suspect_task_starts_alone)
 {
--- a/source/dispatch/tests/job_parts_test.cpp
+++ b/source/dispatch/tests/job_parts_test.cpp
@@ -30,6 +30,10 @@
                      .mFailures = 2,
                      .mCheckpoint = std::string(200, 'c'),
                      .mCrashes = { .mCrashes = 2, .mAlone = 1 },
+                     .mSuspectedCrashes = { { .mWorker = "side-of-a-zone-with-a-long-name-17",
+                                              .mWorkerIncarnationStart = 1'767'269'633'000,
+                                              .mRun = 16,
+                                              .mIsAlone = true } },
                      .mLateStartUntilMs = 1'767'269'633'000 };
   });
   aJob.SetPhase(job_phase::running);
--- a/source/dispatch/tests/job_record_test.cpp
+++ b/source/dispatch/tests/job_record_test.cpp
@@ -75,6 +75,13 @@
       aTask.mState.mFailures = *rc::gen::inRange<std::uint32_t>(0, 4);
       aTask.mState.mCheckpoint = *rc::gen::element<std::string>("", "00ab");
       aTask.mState.mLateStartUntilMs = *rc::gen::element<std::int64_t>(0, 86'400'000);
+      for (auto count = *rc::gen::inRange(0, 3); count > 0; --count) {
+        aTask.mState.mSuspectedCrashes.push_back(
+          { .mWorker = *rc::gen::element<std::string>("w1", "w2"),
+            .mWorkerIncarnationStart = *rc::gen::inRange<std::int64_t>(0, 2'000'000'000'000),
+            .mRun = *rc::gen::inRange<std::uint32_t>(0, 9),
+            .mIsAlone = *rc::gen::arbitrary<bool>() });
+      }
     });
     written.SetPhase(job_phase::running);
     job_record read{ "job", TwoSteps() };
