Dispatch: Store the definition of a queue where the next process finds it

Cause: the last definition of a dropped queue was in the memory of the fronts that had seen it. For a holder that started later the queue was unknown, and RecordFailure took its limit for one attempt: attempt-failed ... failures=1 limit=1 limit_of=unknown-queue, after a holder term= line that is later than the removal.

Change: the definition is a row, queue/<name>. The transaction that accepts a job stores it if the store has another one or none, and so does each transaction that stores starts; both name the row of the configuration. Priority, objective, service and advice come from it as well. Where even the store has none, nothing final is decided: a failed task waits for its queue.

--- a/source/dispatch/caller_api.cpp
+++ b/source/dispatch/caller_api.cpp
@@ -51,9 +51,11 @@
 }
 
 /// Commits only if the store has no such job, if nobody has cancelled it before, and if the
-/// configuration that admitted the job is still the current one.
+/// configuration that admitted the job is still the current one. aQueue: the change that stores the
+/// definition of the job's queue, if the store lacks it.
 platform::row_transaction AcceptTransaction(std::string const& aId, job_description const& aJob,
-                                            std::uint64_t aConfigurationRow)
+                                            std::uint64_t aConfigurationRow,
+                                            std::optional<platform::row_change> aQueue)
 {
   platform::row_transaction transaction;
   transaction.mConditions.push_back({ kDispatchTable, kJobPrefix + aId, 0 });
@@ -61,6 +63,9 @@
   transaction.mConditions.push_back(
     { platform::kOperatorTable, platform::kConfigurationKey, aConfigurationRow });
   transaction.mChanges.push_back({ kDispatchTable, kJobPrefix + aId, EncodeDescription(aJob) });
+  if (aQueue) {
+    transaction.mChanges.push_back(std::move(*aQueue));
+  }
   return transaction;
 }
 
@@ -327,7 +332,8 @@
     job.mService = aCall.mQueue->mService;
     job.mWorkspace = aCall.mWorkspace == nullptr ? "" : aCall.mWorkspace->mName;
     job.mAcceptedWallMs = base::WallClockMilliseconds();
-    auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow);
+    auto transaction = AcceptTransaction(id, job, aCall.mConfigurationRow,
+                                         mOptions.mReplica.QueueChange(job.mQueue));
     auto const bytes = transaction.mChanges.front().mValue->size();
     if (bytes > mOptions.mSettings.mMaximumRowBytes) {
       co_return isOutcomeUnknown ? Refusal(504, "the outcome is unknown") : TooLarge(id, bytes);
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -316,6 +316,8 @@
   } else if (aRow.mKey == kSilentSidesKey) {
     mSilentSides = aRow.mValue;
     mSilentSidesVersion = aRow.mIsDeleted ? 0 : aRow.mVersion;
+  } else if (auto const queue = SuffixAfter(aRow.mKey, kQueuePrefix)) {
+    ApplyQueue(*queue, aRow);
   }
 }
 
@@ -505,8 +507,55 @@
   if (auto const* const current = mConfiguration ? mConfiguration->FindQueue(aName) : nullptr) {
     return current;
   }
-  auto const found = mRemovedQueues.find(aName);
-  return found == mRemovedQueues.end() ? nullptr : &found->second.mQueue;
+  if (auto const found = mRemovedQueues.find(aName); found != mRemovedQueues.end()) {
+    return &found->second.mQueue;
+  }
+  auto const stored = mStoredQueues.find(aName);
+  return stored == mStoredQueues.end() ? nullptr : &stored->second;
+}
+
+std::optional<platform::row_change> replica::QueueChange(std::string const& aName) const
+{
+  auto const* const present = mConfiguration ? mConfiguration->FindQueue(aName) : nullptr;
+  auto const key = QueueKey(aName);
+  if (present == nullptr || !key) {
+    return std::nullopt;
+  }
+  auto text = EncodeQueue(*present);
+  auto const stored = mStoredQueues.find(aName);
+  if (stored != mStoredQueues.end() && EncodeQueue(stored->second) == text) {
+    return std::nullopt;
+  }
+  return platform::row_change{ kDispatchTable, *key, std::move(text) };
+}
+
+std::vector<std::string> replica::UnusedQueues() const
+{
+  std::set<std::string> unused;
+  for (auto const& entry : mStoredQueues) {
+    if (mConfiguration && mConfiguration->FindQueue(entry.first) == nullptr) {
+      unused.insert(entry.first);
+    }
+  }
+  if (!unused.empty()) {
+    for (auto const& entry : mJobs) {
+      unused.erase(entry.second->Description().mQueue);
+    }
+  }
+  return { unused.begin(), unused.end() };
+}
+
+void replica::ApplyQueue(std::string const& aName, store_row const& aRow)
+{
+  auto stored = aRow.mIsDeleted ? std::nullopt : DecodeQueue(aName, aRow.mValue);
+  if (stored) {
+    mStoredQueues[aName] = std::move(*stored);
+    return;
+  }
+  mStoredQueues.erase(aName);
+  if (!aRow.mIsDeleted) {
+    base::Log("replica")->warn("queue-unreadable key={} version={}", aRow.mKey, aRow.mVersion);
+  }
 }
 
 job_record* replica::FindJob(std::string const& aId)
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "dispatch/job_record.h"
 #include "dispatch/operator_configuration.h"
+#include "dispatch/queue_record.h"
 #include "dispatch/term_lease.h"
 #include "dispatch/term_succession.h"
 #include "platform/row_store.h"
@@ -121,9 +122,16 @@
   {
     return mConfiguration;
   }
-  /// Returns the queue as the configuration, or the last one that had it, defines it; null if this
-  /// process has seen none. Jobs of a removed queue go on by its last definition.
+  /// Returns the queue as the configuration, or the last one that had it, defines it; null if
+  /// neither this process nor the store knows one. Jobs of a removed queue go on by its last
+  /// definition.
   queue const* FindQueue(std::string const& aName) const;
+  /// Returns the change that stores the present definition of a queue; nullopt if the store has it
+  /// or the configuration does not have the queue. Belongs into a transaction that names the row of
+  /// the configuration.
+  std::optional<platform::row_change> QueueChange(std::string const& aName) const;
+  /// Names of the queues that are stored and that neither the configuration nor a job has.
+  std::vector<std::string> UnusedQueues() const;
   /// Version of the newest row of the configuration, whether it could be read or not.
   std::uint64_t ConfigurationRowVersion() const { return mConfigurationRowVersion; }
   /// Versions of the configuration that could not be read; the last readable one stays in force.
@@ -184,6 +192,7 @@
   static void ApplyAddress(address_map& aAddresses, std::string const& aNode,
                            platform::store_row const& aRow);
   void ApplyConfiguration(platform::store_row const& aRow);
+  void ApplyQueue(std::string const& aName, platform::store_row const& aRow);
   /// Keeps the definitions of queues that the next configuration no longer has.
   void KeepRemovedQueues(operator_configuration const& aNext);
 
@@ -220,6 +229,8 @@
   std::shared_ptr<operator_configuration const> mConfiguration;
   /// By name: queues that an earlier configuration had.
   std::map<std::string, removed_queue> mRemovedQueues;
+  /// By name: queues as the store has them, which may be older than the ones above.
+  std::map<std::string, queue> mStoredQueues;
   std::uint64_t mConfigurationRowVersion = 0;
   std::uint64_t mRejectedConfigurations = 0;
   /// Send time of the last transaction that met the configuration in a conflict.
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.h"
 #include "dispatch/lease_timing.h"
 #include "net/sleep.h"
+#include "platform/operator_rows.h"
 
 #include <algorithm>
 #include <random>
@@ -27,6 +28,10 @@
 /// Rows of ended jobs whose removal has failed are removed again after this time; longer than the
 /// removal itself may take.
 constexpr milliseconds kRemovalRetryDelay{ 2000 };
+/// Interval of the search for stored queues that nothing uses any more.
+constexpr milliseconds kQueueRemovalInterval{ 5000 };
+/// Maximum number of rows that one transaction removes.
+constexpr std::size_t kMaximumChanges = 90;
 /// Standbys spread their attempts to take over a vacant term over this time.
 constexpr int kTakeoverSpreadMs = 250;
 
@@ -255,6 +260,7 @@
     WatchOverdueStarts(now);
     SendPendingStops();
     RemoveEndedJobs(now);
+    RemoveUnusedQueues(now);
     RetrySetAsideJobs(now);
     SchedulePlanning();
   }
@@ -364,7 +370,6 @@
 {
   auto const retention = RowRetention(mOptions.mSettings.mStatusRetention);
   constexpr std::size_t kRowsPerJob = 3;
-  constexpr std::size_t kMaximumChanges = 90;
   platform::row_transaction transaction;
   std::vector<std::string> jobs;
   std::map<std::string, std::vector<std::uint32_t>> removedParts;
@@ -429,6 +434,36 @@
     asio::detached);
 }
 
+void scheduler::RemoveUnusedQueues(base::time_point aNow)
+{
+  if (aNow - mQueuesRemovedAt < kQueueRemovalInterval) {
+    return;
+  }
+  mQueuesRemovedAt = aNow;
+  auto const unused = mOptions.mReplica.UnusedQueues();
+  if (unused.empty()) {
+    return;
+  }
+  // A queue may be configured again, and a job of it accepted.
+  platform::row_transaction transaction{ .mConditions = {
+                                           { kDispatchTable, kTermKey, mTermVersion },
+                                           { platform::kOperatorTable, platform::kConfigurationKey,
+                                             mOptions.mReplica.ConfigurationRowVersion() } } };
+  for (std::size_t index = 0; index < std::min(unused.size(), kMaximumChanges); ++index) {
+    transaction.mChanges.push_back({ kDispatchTable, kQueuePrefix + unused[index], std::nullopt });
+  }
+  asio::co_spawn(
+    mOptions.mContext,
+    [this, transaction = std::move(transaction)]() mutable -> awaitable<void> {
+      auto const count = transaction.mChanges.size();
+      auto const result =
+        co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
+      base::Log("scheduler")
+        ->info("queues-removed count={} outcome={}", count, static_cast<int>(result.mOutcome));
+    },
+    asio::detached);
+}
+
 void scheduler::SchedulePlanning()
 {
   mMustPlan = true;
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -257,6 +257,8 @@
   void StoreCheckpoints(base::time_point aNow);
   void CloseUnresponsiveLinks(base::time_point aNow);
   void RemoveEndedJobs(base::time_point aNow);
+  /// Removes the stored definitions of queues that are neither configured nor used any more.
+  void RemoveUnusedQueues(base::time_point aNow);
 
   void SchedulePlanning();
   void Plan();
@@ -291,6 +293,9 @@
   bool BuildBatch();
   /// Ends of jobs without changes to store need no transaction.
   void MarkEndsOfUnchangedJobs(session& aSession);
+  /// Adds the definitions of the queues of the started jobs, where the store has none or an earlier
+  /// one.
+  void StoreQueues(batch& aBatch);
   boost::asio::awaitable<void> CommitBatch();
   void BatchCommitted(std::uint64_t aVersion);
   void BatchConflicted(std::vector<platform::store_row> const& aCurrent);
@@ -324,6 +329,7 @@
   silent_sides mSilentSides;
   /// By node: the sides that were listed as silent at the takeover, since when.
   std::map<std::string, base::time_point> mUnansweredSince;
+  base::time_point mQueuesRemovedAt{};
   base::time_point mOverdueLoggedAt{};
   /// Tasks of which a worker lists a run that is not the current one; they do not start beside it.
   std::set<std::string> mTasksWithOtherRuns;
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -30,6 +30,8 @@
 /// store accepts 100 entries and 1 MB.
 constexpr std::size_t kEntriesPerBatch = 62;
 constexpr std::size_t kBytesPerBatch = 250'000;
+/// Maximum number of entries of a transaction.
+constexpr std::size_t kMaximumEntries = 100;
 /// Time after which a job that the store has rejected is tried again.
 constexpr milliseconds kSetAsideTime{ 5000 };
 /// Changes within this time are committed in one transaction.
@@ -158,6 +160,7 @@
     for (auto const& domain : domains) {
       conditions.push_back({ platform::kOperatorTable, platform::kEvacuationPrefix + domain, 0 });
     }
+    StoreQueues(built);
   }
   if (built.mJobs.empty()) {
     return false;
@@ -181,6 +184,24 @@
   return true;
 }
 
+void scheduler::StoreQueues(batch& aBatch)
+{
+  std::set<std::string> queues;
+  for (auto const& start : aBatch.mStarts) {
+    queues.insert(mOptions.mReplica.FindJob(start.mJob)->Description().mQueue);
+  }
+  auto& transaction = aBatch.mTransaction;
+  for (auto const& queue : queues) {
+    // One that does not fit is stored with a later start.
+    if (transaction.mConditions.size() + transaction.mChanges.size() + 1 >= kMaximumEntries) {
+      return;
+    }
+    if (auto change = mOptions.mReplica.QueueChange(queue)) {
+      transaction.mChanges.push_back(std::move(*change));
+    }
+  }
+}
+
 awaitable<void> scheduler::CommitBatch()
 {
   auto const term = mTerm;
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/attempt_limit.h"
 #include "dispatch/set_aside_limit.h"
 
 #include <algorithm>
@@ -111,16 +112,6 @@
   return trial;
 }
 
-/// Whether a waiting task must not start again. aQueue: null if it is unknown, and its limit with
-/// it; aCounted: the task that has the failures, which is the first one of a gang.
-bool HasNoAttemptLeft(queue const* aQueue, job_step const& aStep, task_state const& aTask,
-                      task_state const& aCounted)
-{
-  auto const isExhausted = aQueue != nullptr && !aStep.mIsLongRunning &&
-                           aCounted.mFailures >= std::max(1U, aQueue->mMaximumAttempts);
-  return isExhausted || aTask.mCrashes.IsCause();
-}
-
 bool IsAnyDone(std::vector<tracked_task> const& aTasks)
 {
   return std::ranges::any_of(
@@ -329,7 +320,9 @@
         auto const hasOtherRun =
           !mTasksWithOtherRuns.empty() &&
           mTasksWithOtherRuns.contains(TaskName(aJob.Id(), { occurrence, step, index }));
-        auto const mustWait = hasOtherRun || task.mState.AwaitsCrashes();
+        auto const& counted = shape.mIsGang ? tasks.front() : task;
+        auto const mustWait =
+          hasOtherRun || task.mState.AwaitsCrashes() || AwaitsQueue(queue, shape, counted.mState);
         auto const isHeldBack = (trial && *trial != index && !shape.mIsGang) || mustWait;
         isAnyActive = isAnyActive || mustWait;
         if (task.mState.mStatus == task_status::waiting && !isHeldBack) {
@@ -345,9 +338,8 @@
           if (IsHeldForLateStart(task.mState, aNow)) {
             held[index] = task.mState.mWorker;
           }
-          auto const& counted = shape.mIsGang ? tasks.front() : task;
           // Or before it had stored that the job has failed.
-          if (HasNoAttemptLeft(queue, shape, task.mState, counted.mState)) {
+          if (HasUsedAttempts(queue, shape, counted.mState) || task.mState.mCrashes.IsCause()) {
             base::Log("scheduler")
               ->info(
                 "job-failed job={} task={} run={} failures={} crashes={} why=\"no attempt left\"",
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/scheduler.h"
 
 #include "base/logging.h"
+#include "dispatch/attempt_limit.h"
 #include "dispatch/departure_decision.h"
 #include "dispatch/lease_timing.h"
 #include "dispatch/run_progress.h"
@@ -409,21 +410,20 @@
   auto const isNew = !step.mIsGang || counted.CountGangFailure(ended.mRun);
   counted.mFailures += step.mIsGang ? 0 : 1;
   auto const* const queue = QueueOf(aJob);
-  auto const limit = queue == nullptr ? 1U : queue->mMaximumAttempts;
-  auto const* const limitOrigin = queue == nullptr ? "unknown-queue" : "queue";
   base::Log("scheduler")
-    ->info("attempt-failed task={} run={} node={} gang={} new={} failures={} limit={} limit_of={}",
+    ->info("attempt-failed task={} run={} node={} gang={} new={} failures={} limit={}",
            TaskName(aJob.Id(), aPosition), ended.mRun, ended.mWorker, step.mIsGang, isNew,
-           counted.mFailures, limit, limitOrigin);
+           counted.mFailures,
+           queue == nullptr ? "unknown" : std::to_string(queue->mMaximumAttempts));
   mOptions.mMetrics.Counter("rattanpond_failed_attempts").Add(isNew ? 1 : 0);
   // Also for a run that was counted before: the holder that did may have been lost before it had
   // stored that the job has failed.
-  if (step.mIsLongRunning || counted.mFailures < limit || IsFinal(aJob.Phase())) {
+  if (!HasUsedAttempts(queue, step, counted) || IsFinal(aJob.Phase())) {
     return;
   }
   base::Log("scheduler")
-    ->info("job-failed job={} task={} run={} failures={} limit={} limit_of={}", aJob.Id(),
-           TaskName(aJob.Id(), aPosition), ended.mRun, counted.mFailures, limit, limitOrigin);
+    ->info("job-failed job={} task={} run={} failures={} limit={}", aJob.Id(),
+           TaskName(aJob.Id(), aPosition), ended.mRun, counted.mFailures, queue->mMaximumAttempts);
   FailJob(aJob);
 }
 
--- a/source/platform/tests/removed_queue_test.cpp
+++ b/source/platform/tests/removed_queue_test.cpp
@@ -1,68 +1,9 @@
-#include "platform/tests/test_cluster.h"
+#include "platform/tests/removed_queue_cluster.h"
 
 namespace rattanpond::platform {
 
 using base::milliseconds;
 
-namespace {
-
-/// The test configuration without the queue "bulk".
-std::string ConfigurationWithoutBulk(std::uint64_t aVersion)
-{
-  auto configuration = base::json::parse(Configuration(aVersion));
-  auto& routes = configuration["routes"];
-  routes.erase(std::ranges::find(
-    routes, "bulk", [](base::json const& aRoute) { return aRoute.at("name").get<std::string>(); }));
-  return configuration.dump();
-}
-
-/// A job of the queue "bulk" that is at work when the queue is removed, and fails once afterwards.
-struct removed_queue_cluster
-{
-  removed_queue_cluster()
-  {
-    SetWorkers(true);
-    BOOST_TEST(mCluster.Call(*mCluster.Holder(), "POST", mPath, JobBody(1, 1)) == 200U);
-    BOOST_REQUIRE(mCluster.RunUntil([&] { return mCluster.mRecorder.ActiveRuns() == 1; }));
-    mCluster.mStore.Put(kOperatorTable, kConfigurationKey, ConfigurationWithoutBulk(2));
-    BOOST_REQUIRE(mCluster.RunUntil([&] {
-      return std::ranges::all_of(mCluster.mFronts, [](auto const& aFront) {
-        return aFront->mReplica.Configuration()->mVersion == 2;
-      });
-    }));
-  }
-
-  void SetWorkers(bool aFailsAll)
-  {
-    for (auto const& side : mCluster.mSides) {
-      side->mWorker.mWork = milliseconds{ 3000 };
-      side->mWorker.mFaults.mFailsAll = aFailsAll;
-    }
-  }
-
-  /// Lets the first run fail and the following ones succeed.
-  void FailOnce()
-  {
-    BOOST_REQUIRE(mCluster.RunUntil([&] { return mCluster.mRecorder.ActiveRuns() == 0; }));
-    SetWorkers(false);
-  }
-
-  void RequireDone()
-  {
-    mCluster.mStore.Put(kOperatorTable, kConfigurationKey, Configuration(3));
-    BOOST_REQUIRE(mCluster.RunUntil(
-      [&] { return mCluster.Standby().mReplica.Configuration()->mVersion == 3; }));
-    BOOST_TEST(mCluster.ReachesState(mPath, "done"));
-    BOOST_TEST(mCluster.mRecorder.Starts(JobId(71) + ".0.0.0") == 2U);
-    RequireNoFaults(mCluster);
-  }
-
-  test_cluster mCluster;
-  std::string mPath = "/b/" + JobId(71);
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(removed_queue_test)
 
 // Guards against a job that is shown as failed although it has attempts left: its queue was away
