Scheduler: Charge no task with the loss of a machine

Cause: a newer incarnation of a worker counted as a crash for each run on probation that the store had at the former one. A machine without power takes its side and its worker down together, whatever runs there, and a start that was sent to it may never have begun.

Change: a side writes its address when its process starts. If that row is newer than the transaction that stored the run, the side has started since, and the loss counts for no task. A task that crashes its worker leaves the side running. After a takeover, the version of the job's state stands for that of the run.

Tests: lost_machine_test (a job that ends and one that lasts, the holder lost at the same moment, a start that never began) failed in three of three cases before. deadly_task_test holds.

--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -53,6 +53,8 @@
   bool mIsStartSettled = false;
   /// Time at which this holder sent the start order; not set for runs of former holders.
   base::time_point mOrderedAt{};
+  /// Version of the transaction that stored the run, or of a later one if a former holder did.
+  std::uint64_t mStoredVersion = 0;
   /// Whether the side has reported that a call to start or stop the run had no answer.
   bool mHasUnansweredCall = false;
   /// Time at which a process that only follows the store learned of the run; not set if it was
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -558,6 +558,12 @@
   }
 }
 
+std::uint64_t replica::SideVersion(std::string const& aNode) const
+{
+  auto const found = mVersions.find({ kDispatchTable, kSidePrefix + aNode });
+  return found == mVersions.end() ? 0 : found->second;
+}
+
 job_record* replica::FindJob(std::string const& aId)
 {
   auto const found = mJobs.find(aId);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -116,6 +116,8 @@
   std::string const& SilentSides() const { return mSilentSides; }
   std::uint64_t SilentSidesVersion() const { return mSilentSidesVersion; }
   address_map const& Sides() const { return mSides; }
+  /// Version of the row that a side writes when its process starts; 0 if there is none.
+  std::uint64_t SideVersion(std::string const& aNode) const;
   address_map const& Fronts() const { return mFronts; }
 
   std::shared_ptr<operator_configuration const> const& Configuration() const
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -164,11 +164,13 @@
       ->warn("run-times-unreadable bytes={}", mOptions.mReplica.RunTimes().size());
   }
   for (auto& [id, job] : mOptions.mReplica.Jobs()) {
+    auto const version = job->StateVersion();
     job->ForEachTask([&](task_position const&, tracked_task& aTask) {
       aTask.mRunStatus = run_status::unconfirmed;
       aTask.mRunStatusSince = mHolderSince;
       aTask.mStartedAt = {};
       aTask.mOrderedAt = {};
+      aTask.mStoredVersion = version;
       aTask.mIsStartSettled = false;
       aTask.mHasUnansweredCall = false;
       aTask.mWaitingSince = {};
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -203,6 +203,9 @@
   bool RecordCrash(std::string const& aNode,
                    std::function<bool(tracked_task const&)> const& aIsOnWorker,
                    std::function<bool(tracked_task const&)> const& aIsCertain);
+  /// Whether the process of the side has started since the run was stored. The side's machine was
+  /// lost then, and its worker with it, whatever the run did; the run may never have begun.
+  bool HasSideRestarted(tracked_task const& aTask) const;
   /// Fails the job if the task is certain to crash its workers.
   void FailCauseOfCrashes(job_record& aJob, task_position const& aPosition);
   /// Whether the worker has crashed: its next incarnation shows that, or a long silence; the same
@@ -309,7 +312,8 @@
   bool IsSetAside(std::string const& aJob) const { return mSetAside.contains(aJob); }
   /// Puts jobs back into the queue of changes once their time aside is over.
   void RetrySetAsideJobs(base::time_point aNow);
-  void SendStart(planned_start const& aStart);
+  /// aVersion: the transaction that stored the run.
+  void SendStart(planned_start const& aStart, std::uint64_t aVersion);
 
   /// Tasks that wait although there is room for them.
   static constexpr char const* kOverdueStartsGauge = "rattanpond_tasks_with_overdue_start";
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -257,7 +257,7 @@
     }
   }
   for (auto const& start : done.mStarts) {
-    SendStart(start);
+    SendStart(start, aVersion);
   }
   for (auto const& [node, session] : mSessions) {
     auto const before = session->mEnds.Stored();
@@ -379,7 +379,7 @@
   });
 }
 
-void scheduler::SendStart(planned_start const& aStart)
+void scheduler::SendStart(planned_start const& aStart, std::uint64_t aVersion)
 {
   auto* const job = mOptions.mReplica.FindJob(aStart.mJob);
   auto* const task = job == nullptr ? nullptr : job->Find(aStart.mPosition);
@@ -415,6 +415,7 @@
   task->mRunStatusSince = now;
   task->mStartedAt = now;
   task->mOrderedAt = now;
+  task->mStoredVersion = aVersion;
   task->mIsRunTimeMeasured = task->mState.mCheckpoint.empty();
   task->mIsOnProbation = true;
   session->mStarts.push_back({ .mTask = name,
--- a/source/dispatch/scheduler_crashes.cpp
+++ b/source/dispatch/scheduler_crashes.cpp
@@ -33,7 +33,7 @@
   ForEachActiveTask([&](job_record& aJob, task_position const& aPosition, tracked_task& aTask) {
     // No order has left for a planned run.
     if (aTask.mState.mWorker == aNode && aIsOnWorker(aTask) && aTask.mIsOnProbation &&
-        aTask.mRunStatus != run_status::planned) {
+        aTask.mRunStatus != run_status::planned && !HasSideRestarted(aTask)) {
       suspects.push_back({ &aJob, aPosition });
       jobs.insert(&aJob);
     }
@@ -71,6 +71,11 @@
   return hasCulprit;
 }
 
+bool scheduler::HasSideRestarted(tracked_task const& aTask) const
+{
+  return mOptions.mReplica.SideVersion(aTask.mState.mWorker) > aTask.mStoredVersion;
+}
+
 void scheduler::FailCauseOfCrashes(job_record& aJob, task_position const& aPosition)
 {
   auto const& crashes = aJob.Find(aPosition)->mState.mCrashes;
