Placement: Count the starts of a step on a worker across its groups

Cause: tasks that are held at a worker for a late start and the other waiting tasks of a step are separate groups, and each counted only its own starts of a round.

Change: the round counts the starts of a step by worker, whichever group they belong to. A task that is held at a worker counts there for the other groups, since its late start may run beside them, and so does a listed run that is not the current one of its task.

Tests: placement_test/the_groups_of_a_step_share_its_limit_per_worker failed before (4 checks).

--- a/source/dispatch/placement_decision.cpp
+++ b/source/dispatch/placement_decision.cpp
@@ -128,6 +128,7 @@
 
   void Place(waiting_group const& aGroup)
   {
+    mEarlierStarts = mStartsOfSteps[StepOf(aGroup)];
     if (auto const found = mClaims.find(&aGroup); found != mClaims.end()) {
       auto claim = std::move(found->second);
       mClaims.erase(found);
@@ -339,10 +340,20 @@
     return found == aCounts.end() ? 0 : found->second;
   }
 
+  using step_key = std::tuple<std::string, std::uint32_t, std::uint32_t>;
+
+  static step_key StepOf(waiting_group const& aGroup)
+  {
+    return { aGroup.mJob, aGroup.mOccurrence, aGroup.mStep };
+  }
+
+  /// Runs of the group's step on a worker, without the starts of the group itself. The waiting
+  /// tasks of a step may form several groups.
   std::uint32_t RunningCount(waiting_group const& aGroup, std::size_t aIndex) const
   {
     auto const found = aGroup.mRunningOn.find(mWorkers[aIndex].mWorker);
-    return found == aGroup.mRunningOn.end() ? 0 : found->second;
+    auto const running = found == aGroup.mRunningOn.end() ? 0U : found->second;
+    return running + CountAt(mEarlierStarts, aIndex);
   }
 
   /// Returns one worker for each task, or nothing if they do not all fit.
@@ -387,6 +398,7 @@
     mWorkers[aWorker].mHasBestEffort =
       mWorkers[aWorker].mHasBestEffort || aGroup.mShape->mIsBestEffort;
     mStartedJobs.insert(aGroup.mJob);
+    ++mStartsOfSteps[StepOf(aGroup)][aWorker];
     mDecision.mStarts.push_back({ aGroup.mJob,
                                   { aGroup.mOccurrence, aGroup.mStep, aGroup.mIndexes[aTask] },
                                   mWorkers[aWorker].mWorker });
@@ -799,6 +811,10 @@
   resources_by_worker mFreeAfterStops;
   /// Jobs with a start in this decision.
   std::set<std::string> mStartedJobs;
+  /// Starts of this round by step and worker.
+  std::map<step_key, std::map<std::size_t, std::uint32_t>> mStartsOfSteps;
+  /// Those of the step of the present group by the groups before it.
+  std::map<std::size_t, std::uint32_t> mEarlierStarts;
   placement_decision mDecision;
 };
 
--- a/source/dispatch/placement_decision.h
+++ b/source/dispatch/placement_decision.h
@@ -55,7 +55,8 @@
   /// Work of other jobs, in core-seconds, that preemption for this group may discard; not applied
   /// to guaranteed groups.
   double mPreemptionBudget = 0;
-  /// Number of running tasks of the step by worker, for the limit per worker.
+  /// Number of tasks of the step that run on a worker, or may start there late, for the limit per
+  /// worker. Without the tasks of the group.
   std::map<std::string, std::uint32_t> mRunningOn{};
   /// Workers on which its tasks failed earlier, avoided if others can run the group.
   std::vector<std::string> mFailedOn{};
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -269,6 +269,9 @@
   /// Reserves resources for listed runs that are no task's current run; they are being stopped, or
   /// end with their gang.
   void ReserveForOtherRuns(session const& aSession, worker_snapshot& aSnapshot);
+  /// Counts the listed runs of a task that are not its current one at their workers. Returns
+  /// whether there are any.
+  bool CountOtherRuns(std::string const& aTask, waiting_group& aGroup) const;
   /// Adds the waiting tasks that are held at a worker: those of a gang stay in it, the others form
   /// a group for each worker.
   static void AddHeldTasks(waiting_group const& aGroup,
@@ -335,8 +338,9 @@
   std::map<std::string, base::time_point> mUnansweredSince;
   base::time_point mQueuesRemovedAt{};
   base::time_point mOverdueLoggedAt{};
-  /// Tasks of which a worker lists a run that is not the current one; they do not start beside it.
-  std::set<std::string> mTasksWithOtherRuns;
+  /// Tasks of which a worker lists a run that is not the current one, and that worker; they do not
+  /// start beside it.
+  std::multimap<std::string, std::string> mTasksWithOtherRuns;
   /// Groups that were overdue in the last scan, at most as many as the state dump shows.
   std::vector<overdue_start> mOverdueStarts;
   base::time_point mStartsScannedAt{};
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -217,7 +217,7 @@
       auto const isCurrent =
         aSession.mLink && aSession.mReport.mState != worker_state::gone && !IsPartOfDoneGang(run);
       if (isCurrent) {
-        mTasksWithOtherRuns.insert(run.mTask);
+        mTasksWithOtherRuns.emplace(run.mTask, aSession.mNode);
       }
       aSnapshot.mFree -= ReservedDemand(found.mJob->Step(found.mPosition));
     } else if (aSnapshot.AcceptsStarts()) {
@@ -319,7 +319,7 @@
         auto& task = tasks[index];
         auto const hasOtherRun =
           !mTasksWithOtherRuns.empty() &&
-          mTasksWithOtherRuns.contains(TaskName(aJob.Id(), { occurrence, step, index }));
+          CountOtherRuns(TaskName(aJob.Id(), { occurrence, step, index }), group);
         auto const& counted = shape.mIsGang ? tasks.front() : task;
         auto const mustWait =
           hasOtherRun || task.mState.AwaitsCrashes() || AwaitsQueue(queue, shape, counted.mState);
@@ -378,6 +378,15 @@
   }
 }
 
+bool scheduler::CountOtherRuns(std::string const& aTask, waiting_group& aGroup) const
+{
+  auto const [first, last] = mTasksWithOtherRuns.equal_range(aTask);
+  for (auto run = first; run != last; ++run) {
+    ++aGroup.mRunningOn[run->second];
+  }
+  return first != last;
+}
+
 void scheduler::AddHeldTasks(waiting_group const& aGroup,
                              std::map<std::uint32_t, std::string> const& aHeld,
                              std::vector<waiting_group>& aGroups)
@@ -394,10 +403,17 @@
   }
   for (auto& [worker, indexes] : byWorker) {
     aGroups.push_back(aGroup);
-    aGroups.back().mIndexes = std::move(indexes);
+    auto& group = aGroups.back();
+    group.mIndexes = std::move(indexes);
     if (!worker.empty()) {
-      for (auto const index : aGroups.back().mIndexes) {
-        aGroups.back().mHeldAt[index] = worker;
+      for (auto const index : group.mIndexes) {
+        group.mHeldAt[index] = worker;
+      }
+    }
+    // The worker may carry out the late start of a task that is held there beside other runs.
+    for (auto const& entry : aHeld) {
+      if (entry.second != worker) {
+        ++group.mRunningOn[entry.second];
       }
     }
   }
--- a/source/dispatch/tests/placement_test.cpp
+++ b/source/dispatch/tests/placement_test.cpp
@@ -424,6 +424,29 @@
   }
 }
 
+// Guards against more tasks of a step on one worker than it allows: its waiting tasks form several
+// groups, some of which are held at that worker, and all are placed in the same round.
+BOOST_AUTO_TEST_CASE(the_groups_of_a_step_share_its_limit_per_worker)
+{
+  for (std::uint32_t const limit : { 1U, 2U }) {
+    auto step = Step(6, 1, false);
+    step.mMaximumPerWorker = limit;
+    auto free = Group("job", step);
+    free.mIndexes = { 0, 1, 2 };
+    auto held = Group("job", step);
+    held.mIndexes = { 3, 4 };
+    held.mHeldAt = { { 3, "w1" }, { 4, "w1" } };
+    auto other = Group("other", step);
+    other.mIndexes = { 0, 1, 2, 3 };
+    auto const starts =
+      DecidePlacement({ Snapshot("w1", "r1") }, { free, held, other }, {}).mStarts;
+    auto const ofJob = std::ranges::count(starts, std::string{ "job" },
+                                          [](auto const& aStart) { return aStart.mJob; });
+    BOOST_TEST(ofJob == static_cast<std::ptrdiff_t>(limit));
+    BOOST_TEST(starts.size() == 2 * limit);
+  }
+}
+
 // Guards against a job that fails since the worker that its task is held at keeps crashing.
 BOOST_AUTO_TEST_CASE(a_held_task_does_not_start_on_a_worker_that_keeps_crashing)
 {
