--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -192,8 +192,8 @@
     return count;
   }
 
-  /// Whether the task waits until it is known which of its suspected crashes were some: it must not
-  /// crash further workers, and its job fails only for crashes that are certain.
+  /// Whether the task waits until some of its suspected crashes are confirmed or refuted. Another
+  /// start could crash one worker too many, and only confirmed crashes may fail the job.
   bool AwaitsCrashes() const
   {
     return !mSuspectedCrashes.empty() && PossibleCrashes().HasReachedLimit();
