Scheduler: Keep the definition of a queue while acceptances may be unknown

The holder removes a stored definition that neither the configuration nor a job needs. Its feeds of the two tables are separate, so it may know that the queue is away before it knows of a job that another front has accepted right before; a process that starts later would not know the limit of that job.

Change: it removes nothing before it has all rows of its own table up to the version of the configuration's row. An acceptance names that row, so none is later.

Test: stored_queue_test/a_definition_stays_while_acceptances_may_be_unknown failed before (the definition was removed, two checks).

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -442,15 +442,17 @@
     return;
   }
   mQueuesRemovedAt = aNow;
-  auto const unused = mOptions.mReplica.UnusedQueues();
-  if (unused.empty()) {
+  auto const& replica = mOptions.mReplica;
+  auto const unused = replica.UnusedQueues();
+  // Jobs may have been accepted until the configuration dropped the queue.
+  if (unused.empty() || !replica.HasAllRowsUntil(replica.ConfigurationRowVersion())) {
     return;
   }
-  // A queue may be configured again, and a job of it accepted.
+  // The queue may be configured again meanwhile, and a job of it accepted.
   platform::row_transaction transaction{ .mConditions = {
                                            { kDispatchTable, kTermKey, mTermVersion },
                                            { platform::kOperatorTable, platform::kConfigurationKey,
-                                             mOptions.mReplica.ConfigurationRowVersion() } } };
+                                             replica.ConfigurationRowVersion() } } };
   for (std::size_t index = 0; index < std::min(unused.size(), kMaximumChanges); ++index) {
     transaction.mChanges.push_back({ kDispatchTable, kQueuePrefix + unused[index], std::nullopt });
   }
--- a/source/platform/tests/stored_queue_test.cpp
+++ b/source/platform/tests/stored_queue_test.cpp
@@ -95,6 +95,32 @@
   BOOST_TEST(queue.mCluster.RunUntil([&] { return !isStored(); }));
 }
 
+// Guards against a definition that is removed although a job needs it: the holder knows that the
+// queue is away, but not yet that another front has accepted a job right before.
+BOOST_AUTO_TEST_CASE(a_definition_stays_while_acceptances_may_be_unknown)
+{
+  test_cluster cluster;
+  auto const key = std::string{ dispatch::kQueuePrefix } + "bulk";
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/b/" + JobId(72), JobBody(1, 1)) == 200U);
+  BOOST_TEST(cluster.ReachesState("/b/" + JobId(72), "done"));
+  for (auto const* const prefix : { dispatch::kJobPrefix, dispatch::kStatePrefix }) {
+    cluster.mStore.RemoveAll(dispatch::kDispatchTable, prefix);
+  }
+  auto& holder = *cluster.Holder();
+  BOOST_REQUIRE(cluster.RunUntil([&] { return holder.mReplica.Jobs().empty(); }));
+  holder.mStoreEndpoint.mDelaysDispatchAnswers = true;
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", "/b/" + JobId(73), JobBody(1, 1)) == 200U);
+  cluster.mStore.Put(kOperatorTable, kConfigurationKey, ConfigurationWithoutBulk(2));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return holder.mReplica.Configuration()->mVersion == 2; }));
+  cluster.RunFor(milliseconds{ 5500 });
+  BOOST_TEST(holder.mReplica.FindJob(JobId(73)) == nullptr);
+  BOOST_TEST(cluster.mStore.Text(dispatch::kDispatchTable, key).has_value());
+  holder.mStoreEndpoint.mDelaysDispatchAnswers = false;
+  BOOST_TEST(cluster.RunUntil([&] { return holder.mReplica.FindJob(JobId(73)) != nullptr; }));
+  BOOST_TEST(cluster.mStore.Text(dispatch::kDispatchTable, key).has_value());
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
