Tests: Say which failure the limit after a restart guards against

The head of the case spoke of a limit that holds without an attempt left, which nobody could have understood. A comment only; checks are as before.

--- a/source/platform/tests/stored_queue_test.cpp
+++ b/source/platform/tests/stored_queue_test.cpp
@@ -49,8 +49,8 @@
   queue.RequireDone();
 }
 
-// Guards against a limit that still holds although the queue has no attempt left, and against more
-// starts than it allows.
+// Guards against a job that starts more often than its removed queue allows, once no running front
+// has seen a configuration with the queue.
 BOOST_AUTO_TEST_CASE(a_removed_queue_limits_the_attempts_after_a_restart)
 {
   removed_queue_cluster queue;
