Tests: Wait for links and accepted calls before a target is drained

Cause: the test gave the links 50 ms and six calls 30 ms, by the clock of a machine that had other work. It needs both targets: each takes six calls, and eight are sent. With one link up all six go to one target, and calls that arrive after the drain has begun take places at the other one, so that the last one finds its queue full. The product does what it should.

Change: the test waits until both entries have links to both targets, and until all six calls have begun or are queued. What it checks is unchanged.

--- a/source/requests/tests/fault_test.cpp
+++ b/source/requests/tests/fault_test.cpp
@@ -60,6 +60,13 @@
                                     std::ranges::count(second, aBody));
   }
 
+  /// Number of accepted calls, without those that are on their way to an executor.
+  std::size_t BegunOrQueued()
+  {
+    return mTarget.mExecutedBodies.size() + mTarget.Agent().Queued() +
+           mOther.mExecutedBodies.size() + mOther.Agent().Queued();
+  }
+
   void DelayExecutions(milliseconds aDelay)
   {
     mTarget.mHandler = DelayedHandler(mContext, aDelay);
@@ -185,10 +192,13 @@
   DelayExecutions(milliseconds{ 100 });
   std::vector<started_call> calls;
   calls.reserve(8);
+  // Each target takes six calls, so that all eight need both of them.
+  BOOST_REQUIRE(RunUntil(mContext, [&] { return mTarget.Links() == 2 && mOther.Links() == 2; }));
   for (int count = 0; count < 6; ++count) {
     calls.push_back(Start(*mFirst, {}));
   }
-  RunFor(mContext, milliseconds{ 30 });
+  // A call that arrives after the drain has begun takes a place at the other target, too.
+  BOOST_REQUIRE(RunUntil(mContext, [&] { return BegunOrQueued() == 6; }));
   bool isDrained = false;
   mTarget.Agent().Drain([&] { isDrained = true; });
   auto const before = mTarget.mExecutedBodies.size();
--- a/source/requests/tests/loopback.h
+++ b/source/requests/tests/loopback.h
@@ -27,6 +27,8 @@
   void RestartAgent();
   void StopAgent() { mAgent.reset(); }
   executor_service& Agent() { return *mAgent; }
+  /// Number of links that the agent has accepted.
+  std::size_t Links() const;
 
   std::string mName;
   std::string mIncarnation;
@@ -87,6 +89,9 @@
 /// Runs the handlers of the context for the given time.
 void RunFor(boost::asio::io_context& aContext, base::milliseconds aTime);
 
+/// Runs the handlers until the condition holds, for 10 s at most; returns whether it holds.
+bool RunUntil(boost::asio::io_context& aContext, std::function<bool()> const& aCondition);
+
 /// A call in progress.
 class started_call
 {
--- a/source/requests/tests/loopback_test.cpp
+++ b/source/requests/tests/loopback_test.cpp
@@ -69,6 +69,11 @@
   }));
 }
 
+std::size_t test_target::Links() const
+{
+  return mAgent->StateDump().at("links").get<std::size_t>();
+}
+
 void test_target::RestartAgent()
 {
   mAgent.reset();
@@ -151,6 +156,16 @@
   aContext.run_for(aTime);
 }
 
+bool RunUntil(asio::io_context& aContext, std::function<bool()> const& aCondition)
+{
+  auto const limit = base::Now() + base::milliseconds{ 10'000 };
+  aContext.restart();
+  while (!aCondition() && base::Now() < limit) {
+    aContext.run_one_for(base::milliseconds{ 5 });
+  }
+  return aCondition();
+}
+
 started_call::started_call(asio::io_context& aContext, net::http_client& aClient,
                            net::http_request aRequest)
   : mContext{ aContext }
@@ -164,12 +179,7 @@
 
 net::http_response started_call::Finish()
 {
-  auto const limit = base::Now() + base::milliseconds{ 10'000 };
-  mContext.restart();
-  while (!IsDone() && base::Now() < limit) {
-    mContext.run_one_for(base::milliseconds{ 100 });
-  }
-  BOOST_REQUIRE(IsDone());
+  BOOST_REQUIRE(RunUntil(mContext, [&] { return IsDone(); }));
   return Require(std::move(**mReply));
 }
 
