Tests: Let the runs of changes_are_stored_in_their_order end once all have begun

Cause: 481 runs had to begin within 6 s, when the first of them ended. Beside other work that takes longer.

Change: the runs last 60 s, and the worker lets them end, at the same distances as before, once all have begun. The bounds that are the subject of the test are unchanged.

Measured: address sanitizer, 16 busy processes and eight other suites on 8 cores: failed in 3 of 3 before, passes in 3 of 3. With a change queue that is ordered by name (the fault that the test guards against) it fails as before.

--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -185,6 +185,14 @@
     mRecorder.Started(aTask, aRun, mId);
   }
 
+  /// Lets the active runs end after the given time from now, by their tasks.
+  void EndRunsIn(std::function<base::milliseconds(std::string const& aTask)> const& aTimeLeft)
+  {
+    for (auto& [task, run] : mRuns) {
+      run.mEndsAt = base::Now() + aTimeLeft(task);
+    }
+  }
+
   faults mFaults;
   /// Time left until the worker leaves, stated while it drains.
   std::optional<base::milliseconds> mTimeLeft{};
--- a/source/platform/tests/store_conflict_test.cpp
+++ b/source/platform/tests/store_conflict_test.cpp
@@ -301,23 +301,24 @@
   // A transaction holds 18 jobs.
   constexpr int kOthers = 30;
   constexpr int kTasks = 16;
-  constexpr milliseconds kFirstEnd{ 6000 };
   auto const last = JobId(99);
   for (auto const& side : cluster.mSides) {
+    side->mWorker.mWork = milliseconds{ 60'000 };
     side->mWorker.mProgressTime = milliseconds{ 20'000 };
-    side->mWorker.mWorkOf = [&](std::string const& aTask) {
-      auto const index = std::stoi(aTask.substr(aTask.rfind('.') + 1));
-      // The last job ends when all others have begun to end.
-      return aTask.starts_with(last) ? kFirstEnd + 3 * kSlowTransaction
-                                     : kFirstEnd + index * kSlowTransaction;
-    };
   }
   for (int job = 1; job <= kOthers; ++job) {
     BOOST_TEST(cluster.Call(front, "POST", "/b/" + JobId(job), SmallTasksBody(kTasks)) == 200U);
   }
   BOOST_TEST(cluster.Call(front, "POST", "/b/" + last, SmallTasksBody(1)) == 200U);
-  BOOST_REQUIRE(cluster.RunUntil(
-    [&] { return cluster.mRecorder.ActiveRuns() == kOthers * kTasks + 1; }, kFirstEnd));
+  BOOST_REQUIRE(
+    cluster.RunUntil([&] { return cluster.mRecorder.ActiveRuns() == kOthers * kTasks + 1; }));
+  for (auto const& side : cluster.mSides) {
+    side->mWorker.EndRunsIn([&](std::string const& aTask) {
+      auto const index = std::stoi(aTask.substr(aTask.rfind('.') + 1));
+      // The last job ends when all others have begun to end.
+      return aTask.starts_with(last) ? 3 * kSlowTransaction : index * kSlowTransaction;
+    });
+  }
   front.mStoreEndpoint.mTransactionTime = kSlowTransaction;
   BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.mRecorder.HasEndedDone(FirstTask(last)); }));
   // All jobs fit into two transactions; one more is under way, and reports take their time.
