Scheduler: Stop each run of a done task but the members of an ending gang

Cause: a listed run of a done task with the same number was taken for a member of a gang that is ending, also where the step is no gang and where the worker's incarnation is another one. Nothing else stops such a run.

Change: only a member of a gang, on the incarnation that the gang has run on, is left alone.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -180,8 +180,9 @@
   session* SessionOf(task_state const& aRun);
   /// Returns the task if the run is its active one on the worker's current incarnation.
   found_task FindActiveRun(session const& aSession, std::string const& aTask, std::uint32_t aRun);
-  /// The members of a gang end together, but the worker lists the last ones a little longer.
-  bool IsPartOfDoneGang(listed_run const& aRun);
+  /// The members of a gang end together, but the worker lists the last ones a little longer. A call
+  /// that is carried out late may run the task of a done gang again, on a later incarnation.
+  bool IsPartOfEndingGang(session const& aSession, listed_run const& aRun);
   void ApplyResults(session& aSession, std::set<std::string> const& aListed);
   void ApplyEnds(session& aSession);
   void ApplyRunning(session& aSession);
--- a/source/dispatch/scheduler_planning.cpp
+++ b/source/dispatch/scheduler_planning.cpp
@@ -214,8 +214,8 @@
     auto const found = FindTask(run.mTask);
     if (found.mTask != nullptr) {
       // The lists of a worker that has left are those of its last answer.
-      auto const isCurrent =
-        aSession.mLink && aSession.mReport.mState != worker_state::gone && !IsPartOfDoneGang(run);
+      auto const isCurrent = aSession.mLink && aSession.mReport.mState != worker_state::gone &&
+                             !IsPartOfEndingGang(aSession, run);
       if (isCurrent) {
         mTasksWithOtherRuns.emplace(run.mTask, aSession.mNode);
       }
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -303,11 +303,16 @@
   return isActive ? found : found_task{};
 }
 
-bool scheduler::IsPartOfDoneGang(listed_run const& aRun)
+bool scheduler::IsPartOfEndingGang(session const& aSession, listed_run const& aRun)
 {
-  auto const* const task = FindTask(aRun.mTask).mTask;
-  return task != nullptr && task->mState.mStatus == task_status::done &&
-         task->mState.mRun == aRun.mRun;
+  auto const found = FindTask(aRun.mTask);
+  if (found.mTask == nullptr || !found.mJob->Step(found.mPosition).mIsGang) {
+    return false;
+  }
+  auto const& state = found.mTask->mState;
+  return state.mStatus == task_status::done && state.mRun == aRun.mRun &&
+         state.mWorker == aSession.mNode &&
+         state.mWorkerIncarnationStart == aSession.mReport.mIncarnationStart;
 }
 
 void scheduler::ApplyEnds(session& aSession)
@@ -507,7 +512,8 @@
     auto const activeRun = FindActiveRun(aSession, run.mTask, run.mRun);
     auto* const task = activeRun.mTask;
     if (task == nullptr) {
-      if (!IsPartOfDoneGang(run) && aSession.mStopLimiter.IsDue(RunKey(run.mTask, run.mRun), now)) {
+      if (!IsPartOfEndingGang(aSession, run) &&
+          aSession.mStopLimiter.IsDue(RunKey(run.mTask, run.mRun), now)) {
         aSession.mStops.push_back({ run.mTask, run.mRun });
         base::Log("scheduler")
           ->info("stop task={} run={} node={} why=\"not the current run\"", run.mTask, run.mRun,
