Side: Refuse late calls on each incarnation as soon as it answers

Cause: the next incarnation refuses the start of a run that it has been told to stop. The side knows these calls, and sent the stops only once the incarnation had registered, some 1 s after its return. It had read run lists of that incarnation 150 ms after its return.

Change: the stops leave with the first run lists of an incarnation, registered or not, and once more when it has registered. They need neither the holder nor a front.

--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -389,6 +389,11 @@
   if (answer.mLists->mIncarnationStart != incarnationStart) {
     if (answer.mLists->mIncarnationStart > incarnationStart) {
       HandleUnknownIncarnation(answer.mLists->mIncarnationStart, "run lists");
+      // Its first heartbeat may come a second later, and the late call before that.
+      if (mSightedIncarnationStart != answer.mLists->mIncarnationStart) {
+        mSightedIncarnationStart = answer.mLists->mIncarnationStart;
+        StopUnansweredStarts(*answer.mLists);
+      }
     }
     co_return false;
   }
@@ -431,23 +436,25 @@
   std::erase_if(mUnansweredStarts,
                 [&](auto const& aEntry) { return aSentAt - aEntry.second > kLateCallWindow; });
   mUnansweredStarts[aRun] = aSentAt;
+  mSightedIncarnationStart = 0;
 }
 
-void side_agent::StopUnansweredStarts()
+void side_agent::StopUnansweredStarts(platform::worker_run_lists const& aLists)
 {
   auto const now = base::Now();
   for (auto const& entry : mUnansweredStarts) {
     auto const& run = entry.first;
     auto const sentAt = entry.second;
-    auto const isListed = std::ranges::any_of(mLists.mRunning, [&](auto const& aListed) {
+    auto const isListed = std::ranges::any_of(aLists.mRunning, [&](auto const& aListed) {
       return aListed.mTask == run.first && aListed.mRun == run.second;
     });
     if (isListed || now - sentAt > kLateCallWindow) {
       continue;
     }
-    base::Log("side")->info("stop task={} run={} why=\"its start had no answer from the former "
-                            "incarnation\" age_ms={}",
-                            run.first, run.second, (now - sentAt).count());
+    base::Log("side")->info("stop task={} run={} born={} why=\"its start had no answer from the "
+                            "former incarnation\" age_ms={}",
+                            run.first, run.second, aLists.mIncarnationStart,
+                            (now - sentAt).count());
     mOrders.push_back({ .mTerm = mTerm, .mStop = stop_order{ run.first, run.second } });
   }
   if (!mOrders.empty()) {
@@ -480,7 +487,7 @@
   mLists = std::move(aLists);
   mRunListsReadAt = now;
   if (!mHasRunLists) {
-    StopUnansweredStarts();
+    StopUnansweredStarts(mLists);
   }
   mHasRunLists = true;
   mAwake.Advance(awake_time::clock::now());
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -99,8 +99,9 @@
   /// Handles an answer of another incarnation than the registered one. The worker counts as absent
   /// until the new incarnation has registered.
   void HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign);
-  /// Stops runs that the worker does not list although a call to start them may still reach it.
-  void StopUnansweredStarts();
+  /// Stops the runs whose start an earlier incarnation left unanswered, unless these lists show
+  /// them: the call may still reach the incarnation that has answered.
+  void StopUnansweredStarts(platform::worker_run_lists const& aLists);
   boost::asio::awaitable<order_result> ExecuteOrder(pending_order aOrder);
   boost::asio::awaitable<order_result> ExecuteStart(start_order aOrder, std::uint64_t aTerm,
                                                     base::time_point aReportSentAt);
@@ -181,6 +182,8 @@
   bool mIsReborn = false;
   /// Incarnation that has answered and has not registered; 0 if there is none.
   std::int64_t mUnknownIncarnationStart = 0;
+  /// Incarnation that was sent the stops of all unanswered starts before it has registered.
+  std::int64_t mSightedIncarnationStart = 0;
   /// Starts that never took effect, and the first report with that result; 0 before the first. They
   /// are reported until one of the reports has been answered.
   std::map<run_key, std::uint64_t> mExpiredStarts;
