Dispatch: Move checkpoints that a row has no room for to rows of their own

What callers saw: LOST.

Cause: the states of up to 128 tasks are one row, whatever the length of their checkpoints. The store refuses the row again and again, and the job is set aside.

Ruled out: the length of the transaction, the length of the reports.

Change: what does not fit into row_bytes is moved to rows of its own, the longest checkpoints first. The form of the other rows stays, so that fronts of the former version read and write them. What fits into no row is left out, with a log line and a counter. A task that is done has no checkpoint. The parts of a job in a transaction are bounded by bytes as well.

--- a/source/dispatch/job.h
+++ b/source/dispatch/job.h
@@ -180,6 +180,13 @@
 
   bool operator==(task_state const&) const = default;
 
+  /// The task needs no checkpoint any more.
+  void MarkDone()
+  {
+    mStatus = task_status::done;
+    mCheckpoint.clear();
+  }
+
   bool MayReceiveCalls() const { return mStatus == task_status::active || mLateStartUntilMs != 0; }
 
   /// Crashes that are certain or suspected.
--- a/source/dispatch/job_parts.h
+++ b/source/dispatch/job_parts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/job.h"
+#include "dispatch/checkpoint_rows.h"
 
 #include <cstdint>
 #include <optional>
@@ -56,6 +56,15 @@
   std::string mText{};
 };
 
+/// What one transaction may write of a job.
+struct change_limits
+{
+  std::size_t mParts = 0;
+  /// Bytes after which no further row begins; one part is written in any case.
+  std::size_t mBytes = 0;
+  std::size_t mRowBytes = 0;
+};
+
 /// The rows of a job that one transaction writes.
 struct state_change
 {
@@ -65,6 +74,9 @@
   std::vector<part_change> mParts{};
   /// Changed parts that did not fit into this transaction.
   std::set<std::uint32_t> mOpenParts{};
+  /// Checkpoints that the rows above have no room for. A reader that lacks them starts the tasks
+  /// from earlier ones, so they may follow in later transactions.
+  checkpoint_rows::change mCheckpoints{};
 };
 
 } // namespace rattanpond::dispatch
--- a/source/dispatch/job_record.cpp
+++ b/source/dispatch/job_record.cpp
@@ -208,6 +208,32 @@
     }
   }
 
+  /// Removes the longest checkpoints until at least aBytes of the encoded form are gone, or all of
+  /// them are. Returns them by their tasks.
+  std::vector<std::pair<task_position, std::string>> RemoveCheckpoints(std::size_t aBytes)
+  {
+    std::vector<stored_task*> longestFirst;
+    for (auto& task : mTasks) {
+      if (!task.mCheckpoint.empty()) {
+        longestFirst.push_back(&task);
+      }
+    }
+    std::ranges::stable_sort(longestFirst, std::greater<>{},
+                             [](stored_task const* aTask) { return aTask->mCheckpoint.size(); });
+    std::vector<std::pair<task_position, std::string>> removed;
+    std::size_t bytes = 0;
+    for (auto* const task : longestFirst) {
+      if (bytes >= aBytes) {
+        break;
+      }
+      constexpr std::size_t kQuotes = 2;
+      bytes += base::json(task->mCheckpoint).dump().size() - kQuotes;
+      removed.emplace_back(task_position{ task->mOccurrence, task->mStep, task->mIndex },
+                           std::exchange(task->mCheckpoint, {}));
+    }
+    return removed;
+  }
+
   /// Index of the entry with the time of a late start. The one after the last task is that of a
   /// gang's last failed run.
   static std::uint32_t LateStartIndex(job_step const& aStep, std::uint32_t aTask)
@@ -350,16 +376,34 @@
     [&](task_position const& aPosition, tracked_task const& aTask) {
       states.Add(Step(aPosition), aPosition, aTask.mState);
     });
-  stored_state stored{ .mPhase = mPhase, .mTasks = std::move(states.mTasks) };
-  if (states.mCrashes.empty()) {
+  return EncodeWhole(states);
+}
+
+std::string job_record::EncodeWhole(task_states const& aStates) const
+{
+  stored_state stored{ .mPhase = mPhase, .mTasks = aStates.mTasks };
+  if (aStates.mCrashes.empty()) {
     return base::Encode(stored, base::layout::positional).dump();
   }
-  return base::Encode(stored_state_with_crashes{ .mState = std::move(stored),
-                                                 .mCrashes = std::move(states.mCrashes) },
-                      base::layout::positional)
+  return base::Encode(
+           stored_state_with_crashes{ .mState = std::move(stored), .mCrashes = aStates.mCrashes },
+           base::layout::positional)
     .dump();
 }
 
+std::string job_record::EncodeRow(task_states aStates, std::size_t aMaximumBytes,
+                                  std::function<std::string(task_states const&)> const& aEncode)
+{
+  auto text = aEncode(aStates);
+  if (text.size() <= aMaximumBytes) {
+    return text;
+  }
+  for (auto& [position, checkpoint] : aStates.RemoveCheckpoints(text.size() - aMaximumBytes)) {
+    mCheckpointRows.Set(position, std::move(checkpoint));
+  }
+  return aEncode(aStates);
+}
+
 std::uint64_t job_record::FingerprintOf(std::uint32_t aPart) const
 {
   std::uint64_t fingerprint = 0;
@@ -371,12 +415,21 @@
   return fingerprint;
 }
 
-state_change job_record::EncodeChange(std::size_t aMaximumParts) const
+state_change job_record::EncodeChange(change_limits const& aLimits)
 {
   state_change change;
+  std::size_t bytes = 0;
+  auto const add = [&](task_states& aStates, task_position const& aPosition) {
+    mCheckpointRows.Remove(aPosition);
+    aStates.Add(Step(aPosition), aPosition, Find(aPosition)->mState);
+  };
   if (mParts.Count() == 0) {
-    change.mState = EncodeState();
-    return change;
+    task_states states;
+    ForEachTask(
+      [&](task_position const& aPosition, tracked_task const&) { add(states, aPosition); });
+    change.mState = EncodeRow(std::move(states), aLimits.mRowBytes,
+                              [this](task_states const& aStates) { return EncodeWhole(aStates); });
+    bytes = change.mState->size();
   }
   // In ascending order: the failures of a gang are in the part of its first member, and must not be
   // stored after the ends of the members that are counted there.
@@ -385,25 +438,69 @@
     if (fingerprint == mStoredParts[part].mFingerprint) {
       continue;
     }
-    if (change.mParts.size() == aMaximumParts) {
+    auto const isFull = bytes >= aLimits.mBytes && !change.mParts.empty();
+    if (change.mParts.size() == aLimits.mParts || isFull) {
       change.mOpenParts.insert(part);
       continue;
     }
     task_states states;
     for (auto const& position : mParts.TasksOf(part)) {
-      states.Add(Step(position), position, Find(position)->mState);
+      add(states, position);
     }
-    change.mParts.push_back({ .mPart = part,
-                              .mExpectedVersion = mStoredParts[part].mVersion,
-                              .mFingerprint = fingerprint,
-                              .mText = base::Encode(states, base::layout::positional).dump() });
-  }
-  if (change.mOpenParts.empty()) {
+    change.mParts.push_back(
+      { .mPart = part,
+        .mExpectedVersion = mStoredParts[part].mVersion,
+        .mFingerprint = fingerprint,
+        .mText = EncodeRow(std::move(states), aLimits.mRowBytes, [](task_states const& aStates) {
+          return base::Encode(aStates, base::layout::positional).dump();
+        }) });
+    bytes += change.mParts.back().mText.size();
+  }
+  if (mParts.Count() > 0 && change.mOpenParts.empty()) {
     change.mState = EncodeInParts(mPhase);
   }
+  change.mCheckpoints =
+    mCheckpointRows.Encode(aLimits.mRowBytes, aLimits.mBytes - std::min(bytes, aLimits.mBytes));
   return change;
 }
 
+bool job_record::ApplyCheckpointRow(std::uint32_t aRow, std::string const& aText)
+{
+  // What is read belongs to the stored state, so that it makes no part differ from its row.
+  std::vector<std::uint32_t> unchanged;
+  for (std::uint32_t part = 0; part < mStoredParts.size(); ++part) {
+    if (mStoredParts[part].mFingerprint == FingerprintOf(part)) {
+      unchanged.push_back(part);
+    }
+  }
+  auto const isReadable = mCheckpointRows.ApplyRow(aRow, aText);
+  CompleteCheckpoints();
+  for (auto const part : unchanged) {
+    mStoredParts[part].mFingerprint = FingerprintOf(part);
+  }
+  return isReadable;
+}
+
+void job_record::RemoveCheckpointRow(std::uint32_t aRow)
+{
+  mCheckpointRows.RemoveRow(aRow);
+  CompleteCheckpoints();
+}
+
+void job_record::CompleteCheckpoints()
+{
+  for (auto const& [position, checkpoint] : mCheckpointRows.Checkpoints()) {
+    auto* const task = Find(position);
+    if (task == nullptr || task->mState.mRun == 0 || task->mState.mStatus == task_status::done) {
+      continue;
+    }
+    if (task->mState.mCheckpoint.empty() || task->mIsCheckpointInOwnRow) {
+      task->mState.mCheckpoint = checkpoint;
+      task->mIsCheckpointInOwnRow = true;
+    }
+  }
+}
+
 void job_record::MarkPartsStored(std::uint64_t aVersion, std::vector<part_change> const& aParts)
 {
   for (auto const& part : aParts) {
@@ -515,6 +612,7 @@
   }
   for (auto& [task, state] : decodedTasks) {
     task->mState = std::move(state);
+    task->mIsCheckpointInOwnRow = false;
   }
   for (auto const& [first, run] : failedRuns) {
     Find(first)->mState.mLastFailedRun = run;
@@ -534,6 +632,7 @@
       Find(position)->mState.mCrashes = { .mCrashes = entry.mCrashes, .mAlone = entry.mAlone };
     }
   }
+  CompleteCheckpoints();
 }
 
 bool job_record::ApplyState(std::string const& aText, base::time_point aStoredAt)
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -64,6 +64,8 @@
   std::uint32_t mStallCount = 0;
   /// Worker of the last failed run; the next run is placed on another one if possible.
   std::string mFailedOn;
+  /// Whether a process that only follows the store has the checkpoint from a row of its own.
+  bool mIsCheckpointInOwnRow = false;
 };
 
 /// A job and the state of all its tasks.
@@ -111,8 +113,9 @@
   /// Whether the store has the job's state in parts. False for a large job whose state an earlier
   /// version of the program has stored in one row.
   bool IsInParts() const { return mIsInParts; }
-  /// Encodes the rows that differ from the store, with at most aMaximumParts parts.
-  state_change EncodeChange(std::size_t aMaximumParts) const;
+  /// Encodes the rows that differ from the store. Checkpoints that the row of their states has no
+  /// room for are moved to rows of their own, the longest ones first.
+  state_change EncodeChange(change_limits const& aLimits);
   void MarkPartsStored(std::uint64_t aVersion, std::vector<part_change> const& aParts);
   /// Records that the row with the phase has been stored; from then on the parts are in force.
   void MarkInParts() { mIsInParts = mParts.Count() > 0; }
@@ -125,6 +128,17 @@
                  base::time_point aStoredAt = {});
   /// Sets the tasks of a part to waiting, since the store has no row for it.
   void ResetPart(std::uint32_t aPart);
+  /// Records that rows with checkpoints have been stored or removed.
+  void MarkCheckpointRowsStored(std::vector<checkpoint_row_change> const& aRows)
+  {
+    mCheckpointRows.MarkStored(aRows);
+  }
+  /// Numbers of the rows with checkpoints in the store.
+  std::vector<std::uint32_t> CheckpointRows() const { return mCheckpointRows.Rows(); }
+  /// Applies a row with checkpoints; a task whose stored state has one keeps that. Returns false if
+  /// the row cannot be decoded.
+  bool ApplyCheckpointRow(std::uint32_t aRow, std::string const& aText);
+  void RemoveCheckpointRow(std::uint32_t aRow);
 
   /// Encodes the phase and the state of all tasks that differ from the initial one.
   std::string EncodeState() const;
@@ -153,10 +167,19 @@
   base::time_point mReceivedAt{};
   base::time_point mCheckpointsAppliedAt{};
   base::time_point mEndedAt{};
+  /// Checkpoints that no row had room for at the last change.
+  std::size_t mCheckpointsLeftOut = 0;
 
 private:
   struct task_states;
 
+  /// Encodes states in a row of at most aMaximumBytes.
+  std::string EncodeRow(task_states aStates, std::size_t aMaximumBytes,
+                        std::function<std::string(task_states const&)> const& aEncode);
+  std::string EncodeWhole(task_states const& aStates) const;
+  /// Gives tasks without a checkpoint in the row of their states the one from a row of its own.
+  void CompleteCheckpoints();
+
   void ApplyTasks(task_states const& aStates, std::optional<std::uint32_t> aPart,
                   base::time_point aStoredAt);
   /// Hash of the states of a part's tasks; tasks without any run do not count.
@@ -169,6 +192,7 @@
   bool mIsInParts = false;
   /// Rows of parts that arrived before the row with the phase.
   std::map<std::uint32_t, std::string> mPendingParts;
+  checkpoint_rows mCheckpointRows;
   job_phase mPhase = job_phase::queued;
   job_phase mStoredPhase = job_phase::queued;
   std::uint64_t mStateVersion = 0;
--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -114,6 +114,11 @@
   return kPartPrefix + aJob + '/' + std::to_string(aPart);
 }
 
+std::string CheckpointRowKey(std::string const& aJob, std::uint32_t aRow)
+{
+  return kCheckpointsPrefix + aJob + '/' + std::to_string(aRow);
+}
+
 replica::replica(options aOptions)
   : mOptions{ std::move(aOptions) }
   , mDispatchRows{ .mName = kDispatchTable, .mWait = kDispatchRowsWait }
@@ -267,6 +272,11 @@
         job->ResetPart(part);
       }
     }
+    for (auto const row : job->CheckpointRows()) {
+      if (!aPresent.contains(CheckpointRowKey(id, row))) {
+        job->RemoveCheckpointRow(row);
+      }
+    }
   }
 }
 
@@ -275,7 +285,8 @@
   auto& known = mVersions[{ aRow.mTable, aRow.mKey }];
   auto const id = SuffixAfter(aRow.mKey, kStatePrefix);
   auto const part = SuffixAfter(aRow.mKey, kPartPrefix);
-  if (id || part) {
+  auto const checkpoints = SuffixAfter(aRow.mKey, kCheckpointsPrefix);
+  if (id || part || checkpoints) {
     // The states that the writer holds are newer than the stored ones.
     if (mOptions.mIsWriter()) {
       return;
@@ -286,8 +297,10 @@
     known = aRow.mVersion;
     if (id) {
       ApplyState(*id, aRow);
-    } else {
+    } else if (part) {
       ApplyPart(*part, aRow);
+    } else {
+      ApplyCheckpointRow(*checkpoints, aRow);
     }
     return;
   }
@@ -342,6 +355,11 @@
       ApplyPart(name, row);
     }
   }
+  if (auto const rows = mCheckpointRowsWithoutJob.extract(aId)) {
+    for (auto const& [name, row] : rows.mapped()) {
+      ApplyCheckpointRow(name, row);
+    }
+  }
   if (auto const waitingState = mStatesWithoutJob.find(aId);
       waitingState != mStatesWithoutJob.end()) {
     auto const row = waitingState->second;
@@ -403,6 +421,28 @@
   }
 }
 
+void replica::ApplyCheckpointRow(std::string const& aName, store_row const& aRow)
+{
+  auto const name = ParsePartName(aName);
+  if (!name) {
+    base::Log("replica")->warn("checkpoints-unreadable key={} version={}", aRow.mKey,
+                               aRow.mVersion);
+    return;
+  }
+  auto const& [id, number] = *name;
+  auto* const job = FindJob(id);
+  if (job == nullptr && aRow.mIsDeleted) {
+    mCheckpointRowsWithoutJob[id].erase(aName);
+  } else if (job == nullptr) {
+    mCheckpointRowsWithoutJob[id][aName] = aRow;
+  } else if (aRow.mIsDeleted) {
+    job->RemoveCheckpointRow(number);
+  } else if (!job->ApplyCheckpointRow(number, aRow.mValue)) {
+    base::Log("replica")->warn("checkpoints-unreadable key={} version={}", aRow.mKey,
+                               aRow.mVersion);
+  }
+}
+
 void replica::ApplyTerm(store_row const& aRow)
 {
   auto term = DecodeValue<term_record>(aRow);
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -28,6 +28,8 @@
 inline constexpr char const* kStatePrefix = "run/";
 /// Rows with the task states of large jobs: "part/<job>/<number>", see job_parts.
 inline constexpr char const* kPartPrefix = "part/";
+/// Rows with checkpoints: "checkpoints/<job>/<number>", see checkpoint_rows.
+inline constexpr char const* kCheckpointsPrefix = "checkpoints/";
 inline constexpr char const* kCancellationPrefix = "stop/";
 inline constexpr char const* kSidePrefix = "side/";
 inline constexpr char const* kFrontPrefix = "front/";
@@ -40,6 +42,7 @@
 }
 
 std::string PartKey(std::string const& aJob, std::uint32_t aPart);
+std::string CheckpointRowKey(std::string const& aJob, std::uint32_t aRow);
 
 /// Row of the scheduler term: identifies the process that holds it.
 struct term_record
@@ -180,7 +183,8 @@
   void ApplyFullRead(followed_table const& aTable, platform::read_result const& aRead);
   /// Resets the jobs whose row with the phase is missing in a full read.
   void ResetMissingStates(std::set<std::string> const& aPresent);
-  /// Resets the parts of jobs whose rows are missing in a full read.
+  /// Resets the parts, and removes the rows with checkpoints, of jobs whose rows are missing in a
+  /// full read.
   void ResetMissingParts(std::set<std::string> const& aPresent);
   void HandleStoreFailure();
   void HandleStoreAnswer(std::uint64_t aVersion);
@@ -189,6 +193,7 @@
   void ApplyJob(std::string const& aId, platform::store_row const& aRow);
   void ApplyState(std::string const& aId, platform::store_row const& aRow);
   void ApplyPart(std::string const& aName, platform::store_row const& aRow);
+  void ApplyCheckpointRow(std::string const& aName, platform::store_row const& aRow);
   void ApplyTerm(platform::store_row const& aRow);
   void ApplyTermHeartbeat(platform::store_row const& aRow);
   static void ApplyAddress(address_map& aAddresses, std::string const& aNode,
@@ -212,6 +217,8 @@
   std::map<std::string, platform::store_row> mStatesWithoutJob;
   /// Rows of parts that arrived before the row of their job: by job, then by "<job>/<number>".
   std::map<std::string, std::map<std::string, platform::store_row>> mPartsWithoutJob;
+  /// The same for rows with checkpoints.
+  std::map<std::string, std::map<std::string, platform::store_row>> mCheckpointRowsWithoutJob;
   std::map<std::string, std::uint64_t> mCancellations;
   address_map mSides;
   address_map mFronts;
--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -375,6 +375,7 @@
   platform::row_transaction transaction;
   std::vector<std::string> jobs;
   std::map<std::string, std::vector<std::uint32_t>> removedParts;
+  std::map<std::string, std::vector<checkpoint_row_change>> removedCheckpoints;
   // A job may have been accepted after the removal of a cancellation without a job.
   std::erase_if(mEndedJobs, [&](auto const& aEntry) {
     auto const* const job = mOptions.mReplica.FindJob(aEntry.first);
@@ -389,14 +390,20 @@
     removableSince = aNow - retention + kRemovalRetryDelay;
     auto const* const job = mOptions.mReplica.FindJob(id);
     auto parts = job == nullptr ? std::vector<std::uint32_t>{} : job->PartsWithRows();
-    auto const isWhole = parts.size() + kRowsPerJob <= room;
+    auto checkpoints = job == nullptr ? std::vector<std::uint32_t>{} : job->CheckpointRows();
+    auto const isWhole = parts.size() + checkpoints.size() + kRowsPerJob <= room;
     if (!isWhole) {
       // The job's other rows are removed together with its last parts, in a later transaction.
       parts.resize(std::min(parts.size(), room));
+      checkpoints.resize(std::min(checkpoints.size(), room - parts.size()));
     }
     for (auto const part : parts) {
       transaction.mChanges.push_back({ kDispatchTable, PartKey(id, part), std::nullopt });
     }
+    for (auto const row : checkpoints) {
+      transaction.mChanges.push_back({ kDispatchTable, CheckpointRowKey(id, row), std::nullopt });
+      removedCheckpoints[id].push_back({ .mRow = row });
+    }
     if (!parts.empty()) {
       removedParts[id] = std::move(parts);
     }
@@ -417,7 +424,8 @@
   asio::co_spawn(
     mOptions.mContext,
     [this, term = mTerm, transaction = std::move(transaction), jobs = std::move(jobs),
-     removedParts = std::move(removedParts)]() mutable -> awaitable<void> {
+     removedParts = std::move(removedParts),
+     removedCheckpoints = std::move(removedCheckpoints)]() mutable -> awaitable<void> {
       auto const result =
         co_await mOptions.mStore.Commit(std::move(transaction), kTermCommitTimeout);
       base::Log("scheduler")
@@ -428,6 +436,11 @@
             job->MarkPartsRemoved(parts);
           }
         }
+        for (auto const& [id, rows] : removedCheckpoints) {
+          if (auto* const job = mOptions.mReplica.FindJob(id)) {
+            job->MarkCheckpointRowsStored(rows);
+          }
+        }
         for (auto const& id : jobs) {
           mEndedJobs.erase(id);
         }
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -125,13 +125,17 @@
     std::vector<part_change> mParts;
     /// Whether no part of the job is left for a later transaction.
     bool mIsComplete = true;
+    std::vector<checkpoint_row_change> mCheckpointRows{};
+    /// Whether rows with checkpoints are left for a later transaction.
+    bool mHasOpenCheckpointRows = false;
   };
 
-  /// Maximum numbers of jobs in a transaction, and of parts of each of them.
+  /// Maximum number of jobs in a transaction, and of parts and bytes of each of them.
   struct batch_limits
   {
     std::size_t mJobs = 0;
     std::size_t mParts = 0;
+    std::size_t mBytes = 0;
   };
 
   struct batch
@@ -313,6 +317,9 @@
   void ReturnBatch(batch const& aBatch);
   /// Adds the changed rows of a job to a transaction. Returns their size in bytes.
   std::size_t AddToBatch(batch& aBatch, job_record& aJob);
+  /// Counts and logs the checkpoints of a job that no row has room for, if there are more than
+  /// before.
+  void RecordLeftOutCheckpoints(job_record& aJob, std::size_t aCount);
   bool IsSetAside(std::string const& aJob) const { return mSetAside.contains(aJob); }
   /// Puts jobs back into the queue of changes once their time aside is over.
   void RetrySetAsideJobs(base::time_point aNow);
--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -92,7 +92,9 @@
     { kDispatchTable, kCancellationPrefix + id, mOptions.mReplica.CancellationVersion(id) });
   aJob.ApplyReportedCheckpoints();
   aJob.mCheckpointsAppliedAt = base::Now();
-  auto change = aJob.EncodeChange(aBatch.mLimits.mParts);
+  auto change = aJob.EncodeChange({ .mParts = aBatch.mLimits.mParts,
+                                    .mBytes = aBatch.mLimits.mBytes,
+                                    .mRowBytes = mOptions.mSettings.mMaximumRowBytes });
   std::size_t bytes = 0;
   // Each part has a condition of its own, so that a late repetition of this transaction cannot undo
   // a later one.
@@ -106,10 +108,18 @@
     bytes += change.mState->size();
     changes.push_back({ kDispatchTable, kStatePrefix + id, std::move(*change.mState) });
   }
+  // The conditions above guard these rows as well: each transaction writes a part or the state.
+  for (auto const& row : change.mCheckpoints.mRows) {
+    changes.push_back({ kDispatchTable, CheckpointRowKey(id, row.mRow), row.mText });
+    bytes += row.mText ? row.mText->size() : 0;
+  }
+  RecordLeftOutCheckpoints(aJob, change.mCheckpoints.mLeftOut);
   aBatch.mJobs.push_back({ .mId = id,
                            .mPhase = aJob.Phase(),
                            .mParts = std::move(change.mParts),
-                           .mIsComplete = change.mOpenParts.empty() });
+                           .mIsComplete = change.mOpenParts.empty(),
+                           .mCheckpointRows = std::move(change.mCheckpoints.mRows),
+                           .mHasOpenCheckpointRows = change.mCheckpoints.mIsPartial });
   // A start may be ordered only once it is stored, so starts in parts that did not fit stay
   // planned.
   std::erase_if(mPlanned, [&](planned_start const& aPlanned) {
@@ -125,13 +135,27 @@
   return bytes;
 }
 
+void scheduler::RecordLeftOutCheckpoints(job_record& aJob, std::size_t aCount)
+{
+  if (aCount > aJob.mCheckpointsLeftOut) {
+    mOptions.mMetrics.Counter("rattanpond_checkpoints_left_out")
+      .Add(aCount - aJob.mCheckpointsLeftOut);
+    base::Log("scheduler")
+      ->warn("checkpoints-left-out job={} tasks={} before={}", aJob.Id(), aCount,
+             aJob.mCheckpointsLeftOut);
+  }
+  aJob.mCheckpointsLeftOut = aCount;
+}
+
 bool scheduler::BuildBatch()
 {
   batch built;
   auto const isSmall = mSmallBatches > 0;
   mSmallBatches -= isSmall ? 1 : 0;
-  built.mLimits = isSmall ? batch_limits{ .mJobs = 1, .mParts = 1 }
-                          : batch_limits{ .mJobs = kJobsPerBatch, .mParts = kPartsPerBatch };
+  built.mLimits =
+    isSmall
+      ? batch_limits{ .mJobs = 1, .mParts = 1, .mBytes = 0 }
+      : batch_limits{ .mJobs = kJobsPerBatch, .mParts = kPartsPerBatch, .mBytes = kBytesPerBatch };
   auto& conditions = built.mTransaction.mConditions;
   auto const& changes = built.mTransaction.mChanges;
   conditions.push_back({ kDispatchTable, kTermKey, mTermVersion });
@@ -145,7 +169,8 @@
     }
   }
   for (auto const& job : built.mJobs) {
-    if (!job.mIsComplete) {
+    // A small transaction has no room for checkpoints; they follow with the next change of the job.
+    if (!job.mIsComplete || (job.mHasOpenCheckpointRows && !isSmall)) {
       mDirty.Insert(job.mId);
     }
   }
@@ -250,6 +275,7 @@
       continue;
     }
     job->MarkPartsStored(aVersion, stored.mParts);
+    job->MarkCheckpointRowsStored(stored.mCheckpointRows);
     if (stored.mIsComplete) {
       job->MarkStateStored(aVersion, stored.mPhase);
       job->MarkInParts();
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -361,7 +361,7 @@
       mRunTimes.Observe(aJob.Description().mQueue, step.mEstimate, now - task.mStartedAt);
       mHasNewRunTimes = true;
     }
-    task.mState.mStatus = task_status::done;
+    task.mState.MarkDone();
     if (step.mIsGang) {
       CompleteGang(aJob, aPosition.mOccurrence, aPosition.mStep);
     }
@@ -399,7 +399,7 @@
     if (auto* const session = SessionOf(member.mState); session != nullptr) {
       session->mHealth.Succeeded();
     }
-    member.mState.mStatus = task_status::done;
+    member.mState.MarkDone();
   }
   mDirty.Insert(aJob.Id());
 }
--- a/source/dispatch/tests/job_parts_test.cpp
+++ b/source/dispatch/tests/job_parts_test.cpp
@@ -8,7 +8,14 @@
 
 /// Rows of the store may have this many bytes.
 constexpr std::size_t kRowBytes = 65'536;
-constexpr std::size_t kAllParts = 1000;
+constexpr change_limits kAllParts{ .mParts = 1000, .mBytes = 100'000'000, .mRowBytes = kRowBytes };
+
+change_limits Parts(std::size_t aCount)
+{
+  auto limits = kAllParts;
+  limits.mParts = aCount;
+  return limits;
+}
 
 job_description LargeJob()
 {
@@ -123,12 +130,12 @@
   auto& last = job.Find({ 0, 0, 999 })->mState;
   last.mStatus = task_status::waiting;
   BOOST_TEST(job.Find({ 0, 0, 0 })->mState.CountGangFailure(last.mRun));
-  store(6, job.EncodeChange(1));
+  store(6, job.EncodeChange(Parts(1)));
   // The next holder receives the end again.
   BOOST_TEST((next.Find({ 0, 0, 999 })->mState.mStatus == task_status::active));
   BOOST_TEST(!next.Find({ 0, 0, 0 })->mState.CountGangFailure(last.mRun));
   BOOST_TEST(next.Find({ 0, 0, 0 })->mState.mFailures == 3U);
-  store(7, job.EncodeChange(1));
+  store(7, job.EncodeChange(Parts(1)));
   CheckSameStates(job, next);
 }
 
@@ -139,7 +146,7 @@
   StartAll(job);
   std::size_t transactions = 0;
   while (true) {
-    auto const change = job.EncodeChange(100);
+    auto const change = job.EncodeChange(Parts(100));
     BOOST_TEST(change.mParts.size() <= 100U);
     BOOST_TEST(change.mState.has_value() == change.mOpenParts.empty());
     job.MarkPartsStored(++transactions, change.mParts);
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -203,6 +203,8 @@
   std::size_t mStopCalls = 0;
   std::size_t mLeaseExpirations = 0;
   std::size_t mStarted = 0;
+  /// Starts that carried a checkpoint.
+  std::size_t mResumedStarts = 0;
   /// Starts that have arrived, carried out or not.
   std::size_t mStartCalls = 0;
   std::size_t mLateRefusals = 0;
@@ -494,6 +496,7 @@
       std::from_chars(command.data(), command.data() + command.size(), commandMs);
     auto const isTimed = failure == std::errc{} && last == command.data() + command.size();
     mResumedFrom = aBody.value("last_checkpoint", std::string{});
+    mResumedStarts += mResumedFrom.empty() ? 0 : 1;
     run started{ .mRun = number,
                  .mWork = isTimed   ? base::milliseconds{ commandMs }
                           : mWorkOf ? mWorkOf(task)
