Tests: End the runs with long checkpoints once all have begun

long_checkpoint_test failed once under the address sanitizer, beside load, before any check of the product: it waited for 120 runs at once, and the first ones had ended after their 2.5 s when the last one began (30,000 bytes: each report has 1.2 MB). The runs now end when the test tells them to, and the second case waits for the stored checkpoints in place of a fixed time. What is required stays.

--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -8,16 +8,56 @@
 
 std::string const kPath = "/u/" + JobId(1);
 
-/// A cluster the workers of which list checkpoints of this length.
+/// A cluster the workers of which list checkpoints of this length. Their runs end when they are
+/// told to, so that all tasks of a job are at work together.
 struct checkpoint_cluster : test_cluster
 {
-  checkpoint_cluster(std::size_t aBytes, milliseconds aWork)
+  static constexpr std::size_t kTasks = 120;
+
+  explicit checkpoint_cluster(std::size_t aBytes)
+    : mText(aBytes, 'c')
+  {
+    for (auto const& side : mSides) {
+      side->mWorker.mCheckpoint = mText;
+      side->mWorker.mWork = milliseconds{ 600'000 };
+    }
+  }
+
+  void StartJob()
+  {
+    BOOST_TEST(Call(Standby(), "POST", kPath, JobBody(kTasks, 0)) == 200U);
+    AwaitRuns();
+  }
+
+  void AwaitRuns()
+  {
+    BOOST_REQUIRE(RunUntil([&] { return mRecorder.ActiveRuns() == kTasks; }));
+  }
+
+  void EndRuns()
   {
     for (auto const& side : mSides) {
-      side->mWorker.mCheckpoint = std::string(aBytes, 'c');
-      side->mWorker.mWork = aWork;
+      side->mWorker.mWork = milliseconds{ 100 };
+      side->mWorker.EndRunsIn([](std::string const&) { return milliseconds{ 100 }; });
     }
   }
+
+  std::size_t StoredCheckpoints() const
+  {
+    std::size_t count = 0;
+    for (auto const* const prefix : { dispatch::kStatePrefix, dispatch::kCheckpointsPrefix }) {
+      for (auto const& key : mStore.Keys(dispatch::kDispatchTable, prefix)) {
+        auto const text = mStore.Text(dispatch::kDispatchTable, key).value_or("");
+        for (auto found = text.find(mText); found != std::string::npos;
+             found = text.find(mText, found + mText.size())) {
+          ++count;
+        }
+      }
+    }
+    return count;
+  }
+
+  std::string mText;
 };
 
 } // namespace
@@ -31,11 +71,10 @@
   for (auto const bytes : { 512U, 2000U, 30'000U }) {
     BOOST_TEST_CONTEXT(bytes << " bytes")
     {
-      checkpoint_cluster cluster{ bytes, milliseconds{ 2500 } };
-      BOOST_TEST(cluster.Call(cluster.Standby(), "POST", kPath, JobBody(120, 0)) == 200U);
-      auto const isWorking = [&] { return cluster.mRecorder.ActiveRuns() == 120; };
-      BOOST_REQUIRE(cluster.RunUntil(isWorking));
-      cluster.RunFor(milliseconds{ 500 });
+      checkpoint_cluster cluster{ bytes };
+      cluster.StartJob();
+      cluster.RunFor(milliseconds{ 2500 });
+      cluster.EndRuns();
       auto const other = "/u/" + JobId(2);
       BOOST_TEST(cluster.Call(cluster.Standby(), "POST", other, JobBody(3, 1)) == 200U);
       BOOST_TEST(cluster.ReachesState(other, "done"));
@@ -49,12 +88,12 @@
 // one from which the next holder starts the task.
 BOOST_AUTO_TEST_CASE(a_checkpoint_in_a_row_of_its_own_outlives_the_holder)
 {
-  checkpoint_cluster cluster{ 2000, milliseconds{ 60'000 } };
-  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", kPath, JobBody(120, 0)) == 200U);
-  auto const isWorking = [&] { return cluster.mRecorder.ActiveRuns() == 120; };
-  BOOST_REQUIRE(cluster.RunUntil(isWorking));
-  // Time in which the checkpoints are stored.
-  cluster.RunFor(milliseconds{ 4500 });
+  checkpoint_cluster cluster{ 2000 };
+  cluster.StartJob();
+  for (int attempt = 0; attempt < 150 && cluster.StoredCheckpoints() < cluster.kTasks; ++attempt) {
+    cluster.RunFor(milliseconds{ 100 });
+  }
+  BOOST_REQUIRE(cluster.StoredCheckpoints() == cluster.kTasks);
   for (auto const& side : cluster.mSides) {
     side->mIsFrozen = true;
   }
@@ -66,12 +105,12 @@
     side->mWorker.Crash("i-next-" + side->mSettings.mNode);
     side->SendHeartbeat();
   }
-  BOOST_REQUIRE(cluster.RunUntil(isWorking));
+  cluster.AwaitRuns();
   std::size_t resumed = 0;
   for (auto const& side : cluster.mSides) {
     resumed += side->mWorker.mResumedStarts;
   }
-  BOOST_TEST(resumed == 120U);
+  BOOST_TEST(resumed == cluster.kTasks);
   RequireNoFaults(cluster);
 }
 
