--- a/source/dispatch/checkpoint_rows.cpp
+++ b/source/dispatch/checkpoint_rows.cpp
@@ -53,7 +53,7 @@
   std::vector<stored_row> rows;
   auto bytes = aMaximumRowBytes;
   for (auto const& [position, known] : mEntries) {
-    // Encoded only if it may fit, as all of the job's checkpoints may be many times as long.
+    // Most checkpoints may have no room, and encoding all of them would cost too much time.
     auto const isLast = rows.size() == kMaximumRows;
     auto const least = (isLast ? bytes : kRowBytes) + known.mCheckpoint.size();
     if (least > aMaximumRowBytes) {
--- a/source/dispatch/job_parts.h
+++ b/source/dispatch/job_parts.h
@@ -74,8 +74,8 @@
   std::vector<part_change> mParts{};
   /// Changed parts that did not fit into this transaction.
   std::set<std::uint32_t> mOpenParts{};
-  /// Checkpoints that the rows above have no room for. A reader that lacks them starts the tasks
-  /// from earlier ones, so they may follow in later transactions.
+  /// Checkpoints that do not fit into the rows above. They may be stored later than the states;
+  /// until then, a task can start from an earlier checkpoint or from the beginning.
   checkpoint_rows::change mCheckpoints{};
 };
 
--- a/source/dispatch/job_record.h
+++ b/source/dispatch/job_record.h
@@ -64,7 +64,7 @@
   std::uint32_t mStallCount = 0;
   /// Worker of the last failed run; the next run is placed on another one if possible.
   std::string mFailedOn;
-  /// Whether a process that only follows the store has the checkpoint from a row of its own.
+  /// Whether mState.mCheckpoint comes from a row with checkpoints, not from the row of the state.
   bool mIsCheckpointInOwnRow = false;
 };
 
@@ -135,8 +135,8 @@
   }
   /// Numbers of the rows with checkpoints in the store.
   std::vector<std::uint32_t> CheckpointRows() const { return mCheckpointRows.Rows(); }
-  /// Applies a row with checkpoints; a task whose stored state has one keeps that. Returns false if
-  /// the row cannot be decoded.
+  /// Applies a row with checkpoints. A checkpoint in the stored state of a task takes precedence.
+  /// Returns false if the row cannot be decoded.
   bool ApplyCheckpointRow(std::uint32_t aRow, std::string const& aText);
   void RemoveCheckpointRow(std::uint32_t aRow);
 
--- a/source/dispatch/replica.h
+++ b/source/dispatch/replica.h
@@ -183,8 +183,8 @@
   void ApplyFullRead(followed_table const& aTable, platform::read_result const& aRead);
   /// Resets the jobs whose row with the phase is missing in a full read.
   void ResetMissingStates(std::set<std::string> const& aPresent);
-  /// Resets the parts, and removes the rows with checkpoints, of jobs whose rows are missing in a
-  /// full read.
+  /// Resets each part whose row is missing in a full read, and forgets each missing row with
+  /// checkpoints.
   void ResetMissingParts(std::set<std::string> const& aPresent);
   void HandleStoreFailure();
   void HandleStoreAnswer(std::uint64_t aVersion);
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -389,7 +389,7 @@
   if (answer.mLists->mIncarnationStart != incarnationStart) {
     if (answer.mLists->mIncarnationStart > incarnationStart) {
       HandleUnknownIncarnation(answer.mLists->mIncarnationStart, "run lists");
-      // Its first heartbeat may come a second later, and the late call before that.
+      // Not only once it has registered: a late call may arrive before its first heartbeat.
       if (mSightedIncarnationStart != answer.mLists->mIncarnationStart) {
         mSightedIncarnationStart = answer.mLists->mIncarnationStart;
         StopUnansweredStarts(*answer.mLists);
--- a/source/dispatch/tests/checkpoint_rows_test.cpp
+++ b/source/dispatch/tests/checkpoint_rows_test.cpp
@@ -123,8 +123,8 @@
 
 BOOST_AUTO_TEST_SUITE(checkpoint_rows_test)
 
-// Guards against a job that is never done, as the states of its tasks outgrow the rows of the store
-// and each transaction is refused; and against checkpoints that are lost although rows have room.
+// Guards against a job that is never done, as the store refuses rows that long checkpoints make too
+// large, and against checkpoints that are lost although other rows have room.
 BOOST_AUTO_TEST_CASE(states_fit_into_rows_with_checkpoints_of_any_length)
 {
   for (auto const tasks : { 1U, 40U, 120U, 1500U }) {
@@ -155,8 +155,8 @@
   }
 }
 
-// Guards against tasks that a front of an earlier version loses: it ignores rows with checkpoints,
-// and writes states that are newer than these.
+// Guards against tasks that are lost beside a front of an earlier version. It does not know rows
+// with checkpoints, so these may be older than the states that it has written.
 BOOST_AUTO_TEST_CASE(an_earlier_version_reads_and_replaces_the_states)
 {
   job_record written{ "job", JobOf(120) };
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -81,8 +81,8 @@
 
 BOOST_AUTO_TEST_SUITE(long_checkpoint_test)
 
-// Guards against a job that is never done, and against ends of other jobs on the same workers that
-// are not acknowledged, as the states of the first job outgrow a row.
+// Guards against a job that holds up itself and others: its long checkpoints make its row too large
+// for the store, and no end of a run on its workers is acknowledged any more.
 BOOST_AUTO_TEST_CASE(long_checkpoints_hold_up_no_job)
 {
   checkpoint_cluster cluster{ 2000 };
