Platform: Read run lists of any length, with the checkpoints in turn

Cause: the answer of a worker with 70 such runs exceeds the 4 MiB that the HTTP client takes, so the side could read no list and reported the worker as absent. Evidence: "worker-absent last_lists_ms=1527 last_heartbeat_ms=1159", and no "scheduler-lost", which a report too large for the link would show. The report would have been next.

The answer is now parsed as it arrives. Reports carry what the lists do, so that they fit into a frame. A side without lists says why, in the log and in a counter.

Two of the new cases of long_checkpoint_test fail before ("critical check ActiveRuns() == kTasks has failed"), and pass now. The third one covers the turns of the checkpoints.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -348,8 +348,10 @@
     ->info("end task={} run={} end={} node={} after_ms={}", aEnd.mTask, aEnd.mRun,
            base::Name(aEnd.mEnd), task.mState.mWorker, TimeSince(task.mStartedAt, now));
   mOptions.mMetrics.Counter("rattanpond_ends_" + std::string{ base::Name(aEnd.mEnd) }).Add();
-  if (!aEnd.mCheckpoint.empty()) {
-    task.mState.mCheckpoint = aEnd.mCheckpoint;
+  // An end may lack its checkpoint; the last one that the run has listed is as valid.
+  if (auto const& last = aEnd.mCheckpoint.empty() ? task.mReportedCheckpoint : aEnd.mCheckpoint;
+      !last.empty()) {
+    task.mState.mCheckpoint = last;
   }
   mDirty.Insert(aJob.Id());
   TakeBackCrash(aJob, aPosition);
@@ -508,7 +510,9 @@
 void scheduler::ApplyRunning(session& aSession)
 {
   auto const now = base::Now();
-  for (auto const& run : aSession.mReport.mRunning) {
+  for (auto& run : aSession.mReport.mRunning) {
+    // Moved in any case: the report is kept until the next one, and nothing else uses it.
+    auto checkpoint = std::exchange(run.mCheckpoint, {});
     auto const activeRun = FindActiveRun(aSession, run.mTask, run.mRun);
     auto* const task = activeRun.mTask;
     if (task == nullptr) {
@@ -535,8 +539,8 @@
       task->mProgress = run.mPercent;
       task->mProgressAt = now;
     }
-    if (!run.mCheckpoint.empty()) {
-      task->mReportedCheckpoint = run.mCheckpoint;
+    if (!checkpoint.empty()) {
+      task->mReportedCheckpoint = std::move(checkpoint);
     }
     if (aSession.mReport.mHasRunLists) {
       EndProbation(*activeRun.mJob, *task, now);
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -27,6 +27,10 @@
 constexpr milliseconds kIdleReportInterval{ 1500 };
 /// A worker whose run lists could not be read for this long counts as absent.
 constexpr milliseconds kWorkerAbsenceTimeout{ 1500 };
+/// Active runs' checkpoints that are no longer than this together, in bytes, are part of each
+/// report; longer ones of one report in this interval, as a burst of reports would repeat them.
+constexpr std::size_t kShortCheckpointBytes = 64 * 1024;
+constexpr milliseconds kCheckpointInterval{ 1000 };
 /// The link of a scheduler that has not sent orders for this long is closed; another scheduler may
 /// connect.
 constexpr milliseconds kSchedulerTimeout{ 3000 };
@@ -37,7 +41,7 @@
 constexpr milliseconds kOrderRetryDelay{ 100 };
 /// Maximum number of orders that are carried out at the same time.
 constexpr std::size_t kMaximumConcurrentOrders = 4;
-/// One in this many unreadable heartbeats is logged.
+/// One in this many unreadable heartbeats, and run lists, is logged.
 constexpr std::uint64_t kUnreadableLogInterval = 50;
 /// Resolution of the time that counts towards the lease of a worker that does not answer.
 constexpr milliseconds kAwakeInterval{ 250 };
@@ -366,7 +370,9 @@
 {
   auto const worker = mHeartbeat->mWorker;
   auto const incarnationStart = mHeartbeat->mIncarnationStart;
-  platform::worker_client::poll_request values{ .mFence = mTerm, .mWait = aWait };
+  platform::worker_client::poll_request values{ .mFence = mTerm,
+                                                .mWait = aWait,
+                                                .mFirstCheckpoint = mFirstCheckpoint };
   // The acknowledgement and the deadline hold for one incarnation only: another one would forget
   // ends that nobody has seen, and take the deadline for a longer one.
   if (IsIncarnationConfirmed()) {
@@ -384,8 +390,10 @@
   }
   if (!answer.mLists) {
     DoubtIncarnation();
+    NoteMissingLists(answer);
     co_return false;
   }
+  RecordCheckpointLosses(*answer.mLists);
   if (answer.mLists->mIncarnationStart != incarnationStart) {
     if (answer.mLists->mIncarnationStart > incarnationStart) {
       HandleUnknownIncarnation(answer.mLists->mIncarnationStart, "run lists");
@@ -403,6 +411,37 @@
   co_return true;
 }
 
+void side_agent::NoteMissingLists(platform::worker_client::poll_answer const& aAnswer)
+{
+  mListsFailure = aAnswer.mFailure;
+  if (!aAnswer.mIsUnreadable) {
+    return;
+  }
+  mOptions.mMetrics.Counter("rattanpond_run_lists_unreadable").Add();
+  if (mUnreadableLists++ % kUnreadableLogInterval == 0) {
+    base::Log("side")->warn("run-lists-unreadable worker={} born={} reason=\"{}\" count={}",
+                            mHeartbeat->mWorker, mHeartbeat->mIncarnationStart, aAnswer.mFailure,
+                            mUnreadableLists);
+  }
+}
+
+void side_agent::RecordCheckpointLosses(platform::worker_run_lists const& aLists)
+{
+  auto const record = [&](char const* aCounter, char const* aReason, std::size_t aCount,
+                          std::size_t& aBefore) {
+    if (aCount > aBefore) {
+      mOptions.mMetrics.Counter(aCounter).Add(aCount - aBefore);
+      base::Log("side")->warn("checkpoints-dropped worker={} runs={} before={} reason=\"{}\"",
+                              mHeartbeat->mWorker, aCount, aBefore, aReason);
+    }
+    aBefore = aCount;
+  };
+  record("rattanpond_checkpoints_omitted", "the checkpoints of ended runs are too long",
+         aLists.mOmittedCheckpoints, mOmittedCheckpoints);
+  record("rattanpond_checkpoints_unreadable", "the checkpoints are not text",
+         aLists.mUnreadableCheckpoints, mUnreadableCheckpoints);
+}
+
 void side_agent::HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign)
 {
   DoubtIncarnation();
@@ -552,9 +591,10 @@
     auto const now = base::Now();
     if (mState != worker_state::absent && mState != worker_state::gone &&
         now - mRunListsReadAt > kWorkerAbsenceTimeout) {
-      base::Log("side")->warn("worker-absent worker={} last_lists_ms={} last_heartbeat_ms={}",
-                              mHeartbeat->mWorker, (now - mRunListsReadAt).count(),
-                              (now - mHeartbeatAt).count());
+      base::Log("side")->warn(
+        "worker-absent worker={} last_lists_ms={} last_heartbeat_ms={} reason=\"{}\"",
+        mHeartbeat->mWorker, (now - mRunListsReadAt).count(), (now - mHeartbeatAt).count(),
+        mListsFailure);
       mState = worker_state::absent;
       RequestReport();
     }
@@ -627,6 +667,7 @@
   report.mRunListsTerm = mLists.mIsComplete ? mRunListsPoll.mTerm : 0;
   if (mHasRunLists) {
     report.mRunning = mLists.mRunning;
+    SelectCheckpoints(report);
     std::ranges::copy_if(mLists.mEnded, std::back_inserter(report.mEnded),
                          [&](ended_run const& aRun) { return aRun.mNumber > mAcknowledged; });
   }
@@ -645,6 +686,28 @@
   mScheduler->Send(report);
 }
 
+void side_agent::SelectCheckpoints(side_report& aReport)
+{
+  std::size_t bytes = 0;
+  for (auto const& run : aReport.mRunning) {
+    bytes += run.mCheckpoint.size();
+  }
+  auto const now = base::Now();
+  auto const isTooSoon =
+    bytes > kShortCheckpointBytes && now - mCheckpointsReportedAt < kCheckpointInterval;
+  // These lists may have been requested before the last report.
+  auto const isRepeated = mLists.mFirstCheckpoint != mFirstCheckpoint;
+  if (isTooSoon || isRepeated) {
+    // The scheduler keeps the last checkpoint of each run.
+    for (auto& run : aReport.mRunning) {
+      run.mCheckpoint.clear();
+    }
+    return;
+  }
+  mCheckpointsReportedAt = now;
+  mFirstCheckpoint = mLists.mNextCheckpoint;
+}
+
 void side_agent::HandleFrame(net::link_ptr const& aLink, net::frame const& aFrame)
 {
   if (aFrame.mType != side_orders::kType) {
@@ -676,6 +739,7 @@
     mTerm = aOrders.mTerm;
     mOrdersReceivedAt = now;
     mSentReports.clear();
+    mCheckpointsReportedAt = {};
     RequestReport();
     return;
   }
@@ -889,6 +953,7 @@
            { "ended", mLists.mEnded.size() },
            { "acknowledged", mAcknowledged },
            { "open_starts", mOpenStarts.size() },
+           { "first_checkpoint", mFirstCheckpoint },
            { "lease_left_ms", LeaseLeft().count() } };
 }
 
--- a/source/dispatch/side_agent.h
+++ b/source/dispatch/side_agent.h
@@ -96,6 +96,10 @@
   /// Records a call without an answer: the worker may have been replaced by another incarnation.
   void DoubtIncarnation() { ++mDoubts; }
   bool IsIncarnationConfirmed() const { return mConfirmedDoubts == mDoubts; }
+  /// Records why a call for run lists has returned none.
+  void NoteMissingLists(platform::worker_client::poll_answer const& aAnswer);
+  /// Counts and logs the checkpoints that the lists lack, if there are more than before.
+  void RecordCheckpointLosses(platform::worker_run_lists const& aLists);
   /// Handles an answer of another incarnation than the registered one. The worker counts as absent
   /// until the new incarnation has registered.
   void HandleUnknownIncarnation(std::int64_t aIncarnationStart, std::string const& aSign);
@@ -121,6 +125,9 @@
   bool IsNewer(platform::worker_heartbeat const& aClaim) const;
   void RequestReport();
   void SendReport();
+  /// Removes the checkpoints of active runs from a report if it follows another one with
+  /// checkpoints too soon, or would repeat them.
+  void SelectCheckpoints(side_report& aReport);
   std::int64_t NextDeadline() const;
   std::int64_t StartDeadline() const;
   /// Latest lease deadline that the worker may have received without this process knowing it: from
@@ -153,6 +160,16 @@
   bool mHasRunLists = false;
   platform::worker_run_lists mLists;
   base::time_point mRunListsReadAt{};
+  /// Why the last call without run lists returned none.
+  std::string mListsFailure;
+  std::uint64_t mUnreadableLists = 0;
+  /// Position in the list of active runs from which the next one supplies checkpoints. It moves on
+  /// with each report of checkpoints, so that all runs have their turn.
+  std::size_t mFirstCheckpoint = 0;
+  base::time_point mCheckpointsReportedAt{};
+  /// Checkpoints that the last lists lacked.
+  std::size_t mOmittedCheckpoints = 0;
+  std::size_t mUnreadableCheckpoints = 0;
   /// Number of polls sent; mRunListsPoll is the one that returned mLists.
   std::uint64_t mPolls = 0;
   sent_poll mRunListsPoll;
--- a/source/net/http_client.cpp
+++ b/source/net/http_client.cpp
@@ -31,6 +31,10 @@
 };
 
 using connection_ptr = std::unique_ptr<connection>;
+using body_consumer = http_client::body_consumer;
+
+/// Bytes of a streamed body that are passed on at a time.
+constexpr std::size_t kPieceBytes = 64 * 1024;
 
 /// Returns whether the server has closed an idle connection, or has sent unsolicited bytes on it.
 bool IsStale(connection& aConnection)
@@ -74,14 +78,13 @@
   return message;
 }
 
-http_response FromBeast(http::response<http::string_body>&& aMessage)
+http_response FromBeast(http::response_header<> const& aHeader)
 {
   http_response response;
-  response.mStatus = aMessage.result_int();
-  for (auto const& header : aMessage) {
+  response.mStatus = aHeader.result_int();
+  for (auto const& header : aHeader) {
     response.mHeaders.Add(std::string{ header.name_string() }, std::string{ header.value() });
   }
-  response.mBody = std::move(aMessage.body());
   return response;
 }
 
@@ -97,7 +100,8 @@
   {
   }
 
-  asio::awaitable<reply<http_response>> Send(http_request aRequest, base::milliseconds aTimeout)
+  asio::awaitable<reply<http_response>> Send(http_request aRequest, base::milliseconds aTimeout,
+                                             body_consumer aConsumer)
   {
     auto const deadline = std::chrono::steady_clock::now() + aTimeout;
     auto pooled = TakeIdle();
@@ -122,7 +126,7 @@
     } else {
       ++mInUse;
     }
-    auto result = co_await Exchange(*pooled, std::move(aRequest), deadline);
+    auto result = co_await Exchange(*pooled, std::move(aRequest), deadline, aConsumer);
     --mInUse;
     if (base::Succeeded(result) && mKeepsConnection) {
       pooled->mStream.expires_never();
@@ -147,7 +151,8 @@
   }
 
   asio::awaitable<reply<http_response>> Exchange(connection& aConnection, http_request aRequest,
-                                                 std::chrono::steady_clock::time_point aDeadline)
+                                                 std::chrono::steady_clock::time_point aDeadline,
+                                                 body_consumer const& aConsumer)
   {
     auto const message = ToBeast(std::move(aRequest), mHost);
     auto& stream = aConnection.mStream;
@@ -157,6 +162,9 @@
     if (failure) {
       co_return TransferError(failure);
     }
+    if (aConsumer) {
+      co_return co_await Stream(aConnection, aConsumer);
+    }
     http::response_parser<http::string_body> parser;
     parser.body_limit(mOptions.mMaximumBodyBytes);
     co_await http::async_read(stream, aConnection.mBuffer, parser,
@@ -165,7 +173,39 @@
       co_return TransferError(failure);
     }
     mKeepsConnection = parser.get().keep_alive();
-    co_return FromBeast(parser.release());
+    auto response = FromBeast(parser.get());
+    response.mBody = std::move(parser.get().body());
+    co_return response;
+  }
+
+  asio::awaitable<reply<http_response>> Stream(connection& aConnection,
+                                               body_consumer const& aConsumer)
+  {
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    boost::system::error_code failure;
+    co_await http::async_read_header(aConnection.mStream, aConnection.mBuffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    std::vector<char> piece(kPieceBytes);
+    while (!failure && !parser.is_done()) {
+      auto& body = parser.get().body();
+      body.data = piece.data();
+      body.size = piece.size();
+      co_await http::async_read(aConnection.mStream, aConnection.mBuffer, parser,
+                                asio::redirect_error(asio::use_awaitable, failure));
+      // The parser reports a full buffer as an error.
+      if (failure == http::error::need_buffer) {
+        failure = {};
+      }
+      if (!failure) {
+        aConsumer({ piece.data(), piece.size() - body.size });
+      }
+    }
+    if (failure) {
+      co_return TransferError(failure);
+    }
+    mKeepsConnection = parser.get().keep_alive();
+    co_return FromBeast(parser.get());
   }
 
   asio::io_context& mContext;
@@ -190,7 +230,15 @@
 {
   // The local shared_ptr keeps the pool alive if the client is destroyed during the exchange.
   auto const implementation = mImplementation;
-  co_return co_await implementation->Send(std::move(aRequest), aTimeout);
+  co_return co_await implementation->Send(std::move(aRequest), aTimeout, {});
+}
+
+asio::awaitable<reply<http_response>> http_client::SendAndStream(http_request aRequest,
+                                                                 base::milliseconds aTimeout,
+                                                                 body_consumer aConsumer)
+{
+  auto const implementation = mImplementation;
+  co_return co_await implementation->Send(std::move(aRequest), aTimeout, std::move(aConsumer));
 }
 
 std::size_t http_client::OpenConnections() const
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -3,7 +3,9 @@
 #include "net/endpoint.h"
 #include "net/http_message.h"
 
+#include <functional>
 #include <memory>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -34,6 +36,15 @@
   boost::asio::awaitable<base::reply<http_response>> Send(http_request aRequest,
                                                           base::milliseconds aTimeout);
 
+  /// Receives a response body in pieces, as they arrive.
+  using body_consumer = std::function<void(std::string_view)>;
+
+  /// Like Send, but passes the body to aConsumer instead of storing it, so its size is not limited.
+  /// After an error, aConsumer may have received a part of the body.
+  boost::asio::awaitable<base::reply<http_response>> SendAndStream(http_request aRequest,
+                                                                   base::milliseconds aTimeout,
+                                                                   body_consumer aConsumer);
+
   std::size_t OpenConnections() const;
 
 private:
--- a/source/platform/tests/fake_worker.h
+++ b/source/platform/tests/fake_worker.h
@@ -77,8 +77,9 @@
   /// Runs list their progress as a share of this time; if it is zero, they list 50 percent.
   base::milliseconds mProgressTime{ 0 };
 
-  /// Checkpoint listed for all runs.
+  /// Checkpoint listed for all active runs, and for all ends.
   std::string mCheckpoint{};
+  std::string mEndCheckpoint{};
   /// Checkpoint that the last start carried.
   std::string mResumedFrom{};
 
@@ -572,7 +573,7 @@
                                   isServing ? mResponseTimeTail : 1000 });
     }
     for (auto const& end : mEnds) {
-      body["finished"].push_back({ end.mNumber, end.mTask, end.mRun, end.mListed, "" });
+      body["finished"].push_back({ end.mNumber, end.mTask, end.mRun, end.mListed, mEndCheckpoint });
     }
     co_return net::JsonResponse(200, body);
   }
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 std::string const kPath = "/u/" + JobId(1);
+std::string const kNeighbour = "/u/" + JobId(2);
 
 /// A cluster the workers of which list checkpoints of this length. Their runs end when they are
 /// told to, so that all tasks of a job are at work together.
@@ -14,18 +15,23 @@
 {
   static constexpr std::size_t kTasks = 120;
 
-  explicit checkpoint_cluster(std::size_t aBytes)
-    : mText(aBytes, 'c')
+  explicit checkpoint_cluster(std::size_t aBytes, int aSides = 3)
+    : test_cluster{ 2, aSides }
+    , mText(aBytes, 'c')
   {
     for (auto const& side : mSides) {
       side->mWorker.mCheckpoint = mText;
+      side->mWorker.mEndCheckpoint = mText;
       side->mWorker.mWork = milliseconds{ 600'000 };
     }
   }
 
+  /// Starts the job; all of its tasks have room on one worker.
   void StartJob()
   {
-    BOOST_TEST(Call(Standby(), "POST", kPath, JobBody(kTasks, 0)) == 200U);
+    auto body = base::json::parse(JobBody(kTasks, 0));
+    body["steps"][0]["cpu"] = 500;
+    BOOST_TEST(Call(Standby(), "POST", kPath, body.dump()) == 200U);
     AwaitRuns();
   }
 
@@ -74,6 +80,33 @@
     return count;
   }
 
+  std::size_t Starts() const
+  {
+    std::size_t count = 0;
+    for (auto const& side : mSides) {
+      count += side->mWorker.mStarted;
+    }
+    return count;
+  }
+
+  std::size_t ResumedStarts() const
+  {
+    std::size_t count = 0;
+    for (auto const& side : mSides) {
+      count += side->mWorker.mResumedStarts;
+    }
+    return count;
+  }
+
+  /// Replaces all workers by new ones, which have no runs.
+  void ReplaceWorkers()
+  {
+    for (auto const& side : mSides) {
+      side->mWorker.Crash("i-next-" + side->mSettings.mNode);
+      side->SendHeartbeat();
+    }
+  }
+
   std::string mText;
 };
 
@@ -90,9 +123,8 @@
   // Workers list the checkpoints once a second.
   cluster.RunFor(milliseconds{ 2500 });
   cluster.EndRuns(false);
-  auto const other = "/u/" + JobId(2);
-  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", other, JobBody(3, 1)) == 200U);
-  BOOST_TEST(cluster.ReachesState(other, "done"));
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", kNeighbour, JobBody(3, 1)) == 200U);
+  BOOST_TEST(cluster.ReachesState(kNeighbour, "done"));
   // The states that remain need twice the bytes of a row.
   BOOST_TEST(cluster.RunUntil([&] { return !cluster.HasUnacknowledgedEnds(); }));
   BOOST_TEST(cluster.mRecorder.ActiveRuns() == cluster.kTasks / 2);
@@ -119,15 +151,64 @@
   for (auto const& side : cluster.mSides) {
     side->mIsFrozen = false;
     side->mWorker.mCheckpoint.clear();
-    side->mWorker.Crash("i-next-" + side->mSettings.mNode);
-    side->SendHeartbeat();
   }
+  cluster.ReplaceWorkers();
   cluster.AwaitRuns();
-  std::size_t resumed = 0;
-  for (auto const& side : cluster.mSides) {
-    resumed += side->mWorker.mResumedStarts;
-  }
-  BOOST_TEST(resumed == cluster.kTasks);
+  BOOST_TEST(cluster.ResumedStarts() == cluster.kTasks);
+  RequireNoFaults(cluster);
+}
+
+// Guards against a worker that counts as absent because its run lists exceed the size of a message:
+// all of its runs are stopped or run again, and their ends are never acknowledged.
+BOOST_AUTO_TEST_CASE(run_lists_of_any_length_are_read)
+{
+  checkpoint_cluster cluster{ 60'000, 1 };
+  cluster.StartJob();
+  cluster.RunFor(milliseconds{ 4000 });
+  BOOST_TEST(cluster.mRecorder.ActiveRuns() == cluster.kTasks);
+  cluster.EndRuns(false);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", kNeighbour, JobBody(3, 1)) == 200U);
+  BOOST_TEST(cluster.ReachesState(kNeighbour, "done"));
+  BOOST_TEST(cluster.RunUntil([&] { return !cluster.HasUnacknowledgedEnds(); }));
+  cluster.EndRuns(true);
+  BOOST_TEST(cluster.ReachesState(kPath, "done"));
+  BOOST_TEST(cluster.Starts() == cluster.kTasks + 3);
+  RequireNoFaults(cluster);
+}
+
+// Guards against the same while the fronts are replaced: the next holder adopts the runs.
+BOOST_AUTO_TEST_CASE(run_lists_of_any_length_are_read_by_new_fronts)
+{
+  checkpoint_cluster cluster{ 60'000, 1 };
+  cluster.StartJob();
+  cluster.RunFor(milliseconds{ 1500 });
+  cluster.RestartFront(0);
+  cluster.RestartFront(1);
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Holder() != nullptr; }));
+  cluster.RunFor(milliseconds{ 2000 });
+  cluster.EndRuns(true);
+  BOOST_TEST(cluster.Call(cluster.Standby(), "POST", kNeighbour, JobBody(3, 1)) == 200U);
+  BOOST_TEST(cluster.ReachesState(kNeighbour, "done"));
+  BOOST_TEST(cluster.ReachesState(kPath, "done"));
+  BOOST_TEST(cluster.Starts() == cluster.kTasks + 3);
+  RequireNoFaults(cluster);
+}
+
+// Guards against work that is lost with a worker: reports have no room for all long checkpoints, so
+// each run must have its turn.
+BOOST_AUTO_TEST_CASE(all_long_checkpoints_are_reported_in_turn)
+{
+  checkpoint_cluster cluster{ 30'000, 1 };
+  cluster.StartJob();
+  auto const first = [&] {
+    return cluster.mSides[0]->Agent().Dump().at("first_checkpoint").get<std::size_t>();
+  };
+  BOOST_REQUIRE(cluster.RunUntil([&] { return first() > 0; }));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return first() == 0; }));
+  BOOST_REQUIRE(cluster.mRecorder.ActiveRuns() == cluster.kTasks);
+  cluster.ReplaceWorkers();
+  cluster.AwaitRuns();
+  BOOST_TEST(cluster.ResumedStarts() == cluster.kTasks);
   RequireNoFaults(cluster);
 }
 
--- a/source/platform/worker_client.cpp
+++ b/source/platform/worker_client.cpp
@@ -16,8 +16,6 @@
 constexpr base::milliseconds kConnectTimeout{ 400 };
 constexpr std::size_t kMaximumConnections = 12;
 constexpr std::size_t kMaximumLabels = 64;
-/// The worker lists at most this many ends at a time.
-constexpr std::size_t kMaximumListedEnds = 500;
 /// No two clocks of the platform differ by more. An incarnation that starts later than now would
 /// hide all heartbeats of the true one.
 constexpr base::milliseconds kClockMargin{ std::chrono::hours{ 1 } };
@@ -61,79 +59,6 @@
   return base::milliseconds{ static_cast<std::int64_t>(timeLeft) };
 }
 
-/// [task, run, checkpoint, percent, load]; the last one only where tasks share a worker.
-std::optional<dispatch::listed_run> DecodeRunning(base::json const& aEntry)
-{
-  if (!aEntry.is_array() || aEntry.size() < 2 || !aEntry[0].is_string() ||
-      !aEntry[1].is_number_unsigned()) {
-    return std::nullopt;
-  }
-  dispatch::listed_run run{ .mTask = aEntry[0].get<std::string>(),
-                            .mRun = aEntry[1].get<std::uint32_t>() };
-  if (aEntry.size() > 2 && aEntry[2].is_string()) {
-    run.mCheckpoint = aEntry[2].get<std::string>();
-  }
-  if (aEntry.size() > 3 && aEntry[3].is_number()) {
-    run.mPercent = static_cast<std::int64_t>(aEntry[3].get<double>());
-  }
-  if (aEntry.size() > 4 && aEntry[4].is_number()) {
-    run.mLoad = static_cast<std::int64_t>(aEntry[4].get<double>());
-  }
-  return run;
-}
-
-/// [number, task, run, end, checkpoint].
-std::optional<dispatch::ended_run> DecodeEnded(base::json const& aEntry)
-{
-  if (!aEntry.is_array() || aEntry.size() < 4 || !aEntry[0].is_number_unsigned() ||
-      !aEntry[1].is_string() || !aEntry[2].is_number_unsigned() || !aEntry[3].is_string()) {
-    return std::nullopt;
-  }
-  auto const end = base::ParseEnum<dispatch::run_end>(aEntry[3].get_ref<std::string const&>());
-  if (!end) {
-    return std::nullopt;
-  }
-  dispatch::ended_run ended{ .mNumber = aEntry[0].get<std::int64_t>(),
-                             .mTask = aEntry[1].get<std::string>(),
-                             .mRun = aEntry[2].get<std::uint32_t>(),
-                             .mEnd = *end };
-  if (aEntry.size() > 4 && aEntry[4].is_string()) {
-    ended.mCheckpoint = aEntry[4].get<std::string>();
-  }
-  return ended;
-}
-
-std::optional<worker_run_lists> DecodeLists(std::string const& aBody)
-{
-  auto const document = base::json::parse(aBody, nullptr, false);
-  json_reader reader{ document };
-  worker_run_lists lists{ .mClockMs = reader.Integer("clock_ms"),
-                          .mIncarnationStart = reader.Integer("born") };
-  auto const& running = reader.Member("running");
-  auto const& ended = reader.Member("finished");
-  if (!reader.IsValid() || !running.is_array() || !ended.is_array()) {
-    return std::nullopt;
-  }
-  for (auto const& entry : running) {
-    if (auto run = DecodeRunning(entry)) {
-      lists.mRunning.push_back(std::move(*run));
-    } else {
-      lists.mIsComplete = false;
-    }
-  }
-  for (auto const& entry : ended) {
-    auto run = DecodeEnded(entry);
-    if (!run) {
-      // Acknowledging a later number would also acknowledge an end that could not be decoded, so
-      // the whole answer is discarded.
-      return std::nullopt;
-    }
-    lists.mEnded.push_back(std::move(*run));
-  }
-  lists.mIsComplete = lists.mIsComplete && lists.mEnded.size() < kMaximumListedEnds;
-  return lists;
-}
-
 } // namespace
 
 base::result<worker_heartbeat> ParseHeartbeat(std::string const& aWorker, std::string const& aBody)
@@ -282,16 +207,27 @@
   if (aRequest.mWait.count() > 0) {
     body["wait_ms"] = aRequest.mWait.count();
   }
-  auto const answer = co_await mClient.Send(WorkerRequest("/api/hold", aWorker, body),
-                                            aRequest.mWait + kPollTimeoutMargin);
+  run_list_reader reader{ aRequest.mFirstCheckpoint };
+  auto const answer = co_await mClient.SendAndStream(
+    WorkerRequest("/api/hold", aWorker, body), aRequest.mWait + kPollTimeoutMargin,
+    [&reader](std::string_view aPiece) { reader.Append(aPiece); });
   poll_answer result;
   if (!base::Succeeded(answer)) {
+    result.mFailure = base::Error(answer).mMessage;
     co_return result;
   }
-  auto const& response = std::get<0>(answer);
-  result.mIsOtherIncarnation = response.mStatus == 421;
-  if (response.mStatus == 200) {
-    result.mLists = DecodeLists(response.mBody);
+  auto const status = std::get<0>(answer).mStatus;
+  result.mIsOtherIncarnation = status == 421;
+  if (status != 200) {
+    result.mFailure = "status " + std::to_string(status);
+    co_return result;
+  }
+  auto lists = base::Capture([&] { return reader.Finish(); });
+  if (base::Succeeded(lists)) {
+    result.mLists = std::get<0>(std::move(lists));
+  } else {
+    result.mIsUnreadable = true;
+    result.mFailure = base::Error(lists).mMessage;
   }
   co_return result;
 }
--- a/source/platform/worker_client.h
+++ b/source/platform/worker_client.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/messages.h"
 #include "net/http_client.h"
+#include "platform/run_list_reader.h"
 
 #include <optional>
 #include <string>
@@ -30,17 +31,6 @@
 
 base::result<worker_heartbeat> ParseHeartbeat(std::string const& aWorker, std::string const& aBody);
 
-/// Run lists of a worker, read in one call.
-struct worker_run_lists
-{
-  std::int64_t mClockMs = 0;
-  std::int64_t mIncarnationStart = 0;
-  std::vector<dispatch::listed_run> mRunning{};
-  std::vector<dispatch::ended_run> mEnded{};
-  /// False if a run may be missing from both lists.
-  bool mIsComplete = true;
-};
-
 struct order_answer
 {
   dispatch::order_outcome mOutcome = dispatch::order_outcome::unknown;
@@ -80,12 +70,18 @@
     std::int64_t mDeadlineMs = 0;
     /// The worker holds its answer back for at most this long, until a run ends.
     base::milliseconds mWait{ 0 };
+    /// Position of the first active run whose checkpoint is read, see run_list_reader.
+    std::size_t mFirstCheckpoint = 0;
   };
 
   struct poll_answer
   {
     std::optional<worker_run_lists> mLists;
     bool mIsOtherIncarnation = false;
+    /// The worker has answered with lists that cannot be used.
+    bool mIsUnreadable = false;
+    /// Why there are no lists.
+    std::string mFailure{};
   };
 
   boost::asio::awaitable<poll_answer> PollRuns(std::string aWorker, poll_request aRequest);
