Dispatch: Read the table in full if the changes exceed one answer

Callers saw nothing yet; found by reading. A front that stands still while the store changes by some megabytes never reads the store again: the changes since its version exceed the 4 MiB that its client takes, which counted as a failure of the store, and it asked for them again. It neither learned of new jobs nor took over the term.

Evidence: large_feed_test fails before, in all three of its checks (no job, no term, no answer within 15 s each), and passes now. The front reads the table in pages, whose size the store bounds, as when the store has dropped its history.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -175,8 +175,12 @@
     } else {
       read = co_await mOptions.mStore.Follow(aTable.mName, aTable.mVersion, aTable.mWait);
     }
-    if (read.mOutcome == read_outcome::history_lost) {
-      base::Log("replica")->info("history-lost table={} version={}", aTable.mName, aTable.mVersion);
+    // The store bounds the pages of a full read, but not the changes since a version.
+    auto const areChangesTooLarge = read.mOutcome == read_outcome::too_large && !isFullRead;
+    if (read.mOutcome == read_outcome::history_lost || areChangesTooLarge) {
+      base::Log("replica")->info("{} table={} version={}",
+                                 areChangesTooLarge ? "changes-too-large" : "history-lost",
+                                 aTable.mName, aTable.mVersion);
       aTable.mIsLoaded = false;
       if (isAfterFullRead) {
         // The full read came from a copy that lags behind the history.
--- a/source/platform/row_store.cpp
+++ b/source/platform/row_store.cpp
@@ -177,6 +177,9 @@
   auto const answer = co_await mClient.Send(std::move(request), aTimeout);
   read_result result;
   if (!base::Succeeded(answer)) {
+    if (base::Error(answer).mCode == base::result_code::message_too_large) {
+      result.mOutcome = read_outcome::too_large;
+    }
     co_return result;
   }
   auto const& response = std::get<0>(answer);
--- a/source/platform/row_store.h
+++ b/source/platform/row_store.h
@@ -72,6 +72,8 @@
   answered,
   /// The store no longer holds the history after the given version: the table must be read again.
   history_lost,
+  /// The answer exceeds the size limit of the client.
+  too_large,
   failed
 };
 
