Scheduler: Judge progress only by reports that have run lists

Callers saw: a worker that answers nothing for four seconds, right after it has started four runs, and works on, has all four stopped and started again once it answers ("stalled ... percent=0 still_ms=2594", 0.2 s after "worker-absent").

Cause: the age of the last report decided whether a run may be judged, but a side also reports while it cannot read its worker's lists. Silence counted as time without progress.

silent_worker_test fails before (4 stalls, 4 stops, 8 starts in place of 4) and passes now.

--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -65,6 +65,8 @@
     bool mHasReport = false;
     side_report mReport;
     base::time_point mReportedAt{};
+    /// First of the consecutive reports that have valid run lists.
+    base::time_point mListedSince{};
     /// Whether the last orders did not answer a report, as the store may list the side as silent.
     bool mIsAnswerWithheld = false;
     run_end_ledger mEnds;
--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -115,6 +115,9 @@
   if (aReport.mIncarnationStart > aSession.mReport.mIncarnationStart) {
     ReplaceIncarnation(aSession, aReport.mIncarnationStart, aReport.mWorker);
   }
+  if (aReport.mHasRunLists && !aSession.mReport.mHasRunLists) {
+    aSession.mListedSince = now;
+  }
   aSession.mHasReport = true;
   aSession.mReportedAt = now;
   mLeases.try_emplace(aSession.mNode, NewLeaseEvidence(aSession.mNode))
@@ -915,17 +918,22 @@
       return;
     }
     auto const found = mSessions.find(aTask.mState.mWorker);
-    if (found == mSessions.end() || aNow - found->second->mReportedAt > kMaximumReportAge ||
-        !IsStalled(
-          { .mLastProgressAt = std::max(LastProgress(aJob, aPosition, aTask), mHolderSince),
-            .mExpectedRunTime = ExpectedRunTime(aJob, step),
-            .mLastInterval = aTask.mProgressInterval,
-            .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0,
-            .mPreviousStalls = aTask.mStallCount },
-          aNow)) {
+    if (found == mSessions.end()) {
+      return;
+    }
+    auto& session = *found->second;
+    // A worker that is silent has not shown that its runs stand still.
+    if (!session.mReport.mHasRunLists || aNow - session.mReportedAt > kMaximumReportAge ||
+        !IsStalled({ .mLastProgressAt = std::max({ LastProgress(aJob, aPosition, aTask),
+                                                   mHolderSince, session.mListedSince }),
+                     .mExpectedRunTime = ExpectedRunTime(aJob, step),
+                     .mLastInterval = aTask.mProgressInterval,
+                     .mMayWaitForMembers = step.mIsGang && aTask.mProgress == 0,
+                     .mPreviousStalls = aTask.mStallCount },
+                   aNow)) {
       return;
     }
-    found->second->mHealth.Stalled(aNow);
+    session.mHealth.Stalled(aNow);
     aTask.mFailedOn = aTask.mState.mWorker;
     ++aTask.mStallCount;
     base::Log("scheduler")
