Scheduler: Send starts that exceed a message in several ones

Callers saw (in the test): a worker with 120 runs of 40,000 bytes of checkpoint crashes, and the starts that follow are lost; they are ordered again after their time limit.

Cause: all starts for a worker go in one message, and the side closes the link at a frame of over 4 MiB ("scheduler-lost reason="frame of 4803885 bytes exceeds the size limit"").

long_checkpoint_test/all_long_checkpoints_are_reported_in_turn fails with the split taken out (360 starts in place of 240) and passes with it.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -37,6 +37,9 @@
 /// A task that has waited this long although there is room for it is overdue: at the end of the
 /// traffic the users count a job as lost that has nothing running for 3 s.
 constexpr milliseconds kStartBound{ 3000 };
+/// Commands and checkpoints of one message with orders, in bytes; further starts follow in messages
+/// of their own, as a link refuses messages above a size.
+constexpr std::size_t kOrderBytes = 1024 * 1024;
 /// Interval of the scan for overdue starts, and number of groups logged, and kept for the state
 /// dump.
 constexpr milliseconds kStartScanInterval{ 1000 };
@@ -708,12 +711,21 @@
                       .mWorker = aSession.mReport.mWorker,
                       .mIncarnationStart = aSession.mReport.mIncarnationStart,
                       .mAcknowledged = aSession.mEnds.Stored(),
-                      .mStarts = std::move(aSession.mStarts),
-                      .mStops = std::move(aSession.mStops),
-                      .mPaces = std::move(aSession.mPaces) };
-  aSession.mStarts.clear();
-  aSession.mStops.clear();
-  aSession.mPaces.clear();
+                      .mStops = std::exchange(aSession.mStops, {}),
+                      .mPaces = std::exchange(aSession.mPaces, {}) };
+  std::size_t bytes = 0;
+  for (auto& start : std::exchange(aSession.mStarts, {})) {
+    auto const size = start.mCommand.size() + start.mCheckpoint.size();
+    if (bytes + size > kOrderBytes && !orders.mStarts.empty()) {
+      aSession.mLink->Send(orders);
+      orders.mStops.clear();
+      orders.mPaces.clear();
+      orders.mStarts.clear();
+      bytes = 0;
+    }
+    bytes += size;
+    orders.mStarts.push_back(std::move(start));
+  }
   aSession.mLink->Send(orders);
 }
 
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -195,10 +195,11 @@
 }
 
 // Guards against work that is lost with a worker: reports have no room for all long checkpoints, so
-// each run must have its turn.
+// each run must have its turn. The starts that carry them need more than one message, too: a link
+// closes at one that is too large, and the starts in it are lost.
 BOOST_AUTO_TEST_CASE(all_long_checkpoints_are_reported_in_turn)
 {
-  checkpoint_cluster cluster{ 30'000, 1 };
+  checkpoint_cluster cluster{ 40'000, 1 };
   cluster.StartJob();
   auto const first = [&] {
     return cluster.mSides[0]->Agent().Dump().at("first_checkpoint").get<std::size_t>();
@@ -209,6 +210,7 @@
   cluster.ReplaceWorkers();
   cluster.AwaitRuns();
   BOOST_TEST(cluster.ResumedStarts() == cluster.kTasks);
+  BOOST_TEST(cluster.Holder()->mMetrics.Counter("rattanpond_starts").Value() == 2 * cluster.kTasks);
   RequireNoFaults(cluster);
 }
 
