--- a/source/dispatch/scheduler_commits.cpp
+++ b/source/dispatch/scheduler_commits.cpp
@@ -451,10 +451,9 @@
                                .mTicket = ticket.value_or(std::string{}) });
   mOptions.mMetrics.Counter("rattanpond_starts").Add();
   base::Log("scheduler")
-    ->info("start task={} run={} node={} born={} term={} waited_ms={} checkpoint={}", name,
+    ->info("start task={} run={} node={} born={} term={} waited_ms={} checkpoint_bytes={}", name,
            aStart.mRun, aStart.mNode, task->mState.mWorkerIncarnationStart, mTerm,
-           (now - job->mReceivedAt).count(),
-           task->mState.mCheckpoint.empty() ? "none" : task->mState.mCheckpoint);
+           (now - job->mReceivedAt).count(), task->mState.mCheckpoint.size());
 }
 
 } // namespace rattanpond::dispatch
