Dispatch: Do not use rows with checkpoints that are older than their job

Callers saw nothing yet; known by reading. A version of the program that does not know these rows leaves them behind when it removes a job. A job accepted later under the same identifier takes them for its own once the holder is replaced, and a task starts from the work of another one.

The store's versions tell the two apart: the row of a job is written once.

long_checkpoint_test/a_checkpoint_of_a_former_job_is_not_used fails before (one resumed start) and passes now.

--- a/source/dispatch/replica.cpp
+++ b/source/dispatch/replica.cpp
@@ -435,12 +435,19 @@
   }
   auto const& [id, number] = *name;
   auto* const job = FindJob(id);
+  auto const accepted = mVersions.find({ kDispatchTable, kJobPrefix + id });
   if (job == nullptr && aRow.mIsDeleted) {
     mCheckpointRowsWithoutJob[id].erase(aName);
   } else if (job == nullptr) {
     mCheckpointRowsWithoutJob[id][aName] = aRow;
   } else if (aRow.mIsDeleted) {
     job->RemoveCheckpointRow(number);
+  } else if (accepted != mVersions.end() && aRow.mVersion < accepted->second) {
+    // An earlier version of the program has left it behind when it removed a job that had the same
+    // identifier. Without content, it is replaced or removed with the next change.
+    base::Log("replica")->info("checkpoints-of-former-job key={} version={}", aRow.mKey,
+                               aRow.mVersion);
+    job->ApplyCheckpointRow(number, {});
   } else if (!job->ApplyCheckpointRow(number, aRow.mValue)) {
     base::Log("replica")->warn("checkpoints-unreadable key={} version={}", aRow.mKey,
                                aRow.mVersion);
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -214,6 +214,24 @@
   RequireNoFaults(cluster);
 }
 
+// Guards against a task that starts from the work of another one: a job that had the same
+// identifier was removed by a version of the program that does not know rows with checkpoints.
+BOOST_AUTO_TEST_CASE(a_checkpoint_of_a_former_job_is_not_used)
+{
+  checkpoint_cluster cluster{ 0 };
+  auto const key = dispatch::CheckpointRowKey(JobId(1), 0);
+  // Occurrence, step, index and checkpoint.
+  cluster.mStore.Put(dispatch::kDispatchTable, key, R"([[[0,0,7,"work of the former job"]]])");
+  cluster.StartJob();
+  cluster.RestartFront(0);
+  cluster.RestartFront(1);
+  cluster.ReplaceWorkers();
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Starts() == 2 * cluster.kTasks; }));
+  BOOST_TEST(cluster.ResumedStarts() == 0U);
+  BOOST_TEST(!cluster.mStore.Text(dispatch::kDispatchTable, key).has_value());
+  RequireNoFaults(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanpond::platform
