--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -90,6 +90,7 @@
     .mOnClose =
       [this](net::link_ptr const& aLink, base::error const& aReason) {
         if (aLink == mScheduler) {
+          mOptions.mMetrics.Counter("rattanpond_scheduler_links_lost").Add();
           base::Log("side")->info("scheduler-lost term={} reason=\"{}\"", mTerm, aReason.mMessage);
           mScheduler.reset();
         }
