Scheduler: Count progress from the first report after a gap

Callers saw (in the test): a machine stands still for four seconds with its side and its worker, and all four runs of the worker are stopped and started again as soon as it goes on. The first report afterwards shows the progress of before, and the gap counted as time without progress.

Ends are taken out of a report as they are applied, like the checkpoints of active runs, so that a session does not keep them until the next report. The position of the checkpoints begins anew with each incarnation.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -118,7 +118,9 @@
   if (aReport.mIncarnationStart > aSession.mReport.mIncarnationStart) {
     ReplaceIncarnation(aSession, aReport.mIncarnationStart, aReport.mWorker);
   }
-  if (aReport.mHasRunLists && !aSession.mReport.mHasRunLists) {
+  auto const wasSilent =
+    !aSession.mReport.mHasRunLists || now - aSession.mReportedAt > kMaximumReportAge;
+  if (aReport.mHasRunLists && wasSilent) {
     aSession.mListedSince = now;
   }
   aSession.mHasReport = true;
@@ -323,8 +325,9 @@
 
 void scheduler::ApplyEnds(session& aSession)
 {
-  auto const& report = aSession.mReport;
-  for (auto const& end : report.mEnded) {
+  for (auto& listed : aSession.mReport.mEnded) {
+    // Taken out of the report, which is kept until the next one.
+    auto const end = std::exchange(listed, {});
     if (end.mNumber <= aSession.mEnds.Recorded()) {
       continue;
     }
@@ -517,7 +520,7 @@
 {
   auto const now = base::Now();
   for (auto& run : aSession.mReport.mRunning) {
-    // Moved in any case: the report is kept until the next one, and nothing else uses it.
+    // Taken out of the report, which is kept until the next one.
     auto checkpoint = std::exchange(run.mCheckpoint, {});
     auto const activeRun = FindActiveRun(aSession, run.mTask, run.mRun);
     auto* const task = activeRun.mTask;
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -245,6 +245,7 @@
                             aHeartbeat.mIncarnationStart, aHeartbeat.mService);
     mHasRunLists = false;
     mLists = {};
+    mFirstCheckpoint = 0;
     mUnknownIncarnationStart = 0;
     DoubtIncarnation();
     // An earlier incarnation of this process may have renewed the lease until now. As long as the
