--- a/source/platform/run_list_reader.cpp
+++ b/source/platform/run_list_reader.cpp
@@ -133,7 +133,7 @@
     return std::move(mLists);
   }
 
-  // The names and signatures below are those that the parser requires.
+  // NOLINTBEGIN(readability-identifier-naming): the parser requires these names and signatures
   bool on_document_begin(json::error_code&) { return true; }
   bool on_document_end(json::error_code&) { return true; }
   bool on_object_begin(json::error_code&) { return Open(base::json::object()); }
@@ -180,6 +180,7 @@
   bool on_null(json::error_code&) { return Add(nullptr); }
   bool on_comment_part(json::string_view, json::error_code&) { return true; }
   bool on_comment(json::string_view, json::error_code&) { return true; }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
   bool Open(base::json aEmpty)
