Tests: Give the older cases of long checkpoints their tasks' size back

StartJob had halved the processors of a task for all cases, so that the two older ones placed their tasks differently than before. Only the cases with a single worker need the smaller size.

Comments that needed the context of their change are reworded.

--- a/source/dispatch/scheduler_reports.cpp
+++ b/source/dispatch/scheduler_reports.cpp
@@ -937,7 +937,7 @@
       return;
     }
     auto& session = *found->second;
-    // A worker that is silent has not shown that its runs stand still.
+    // Without current run lists, missing progress can also mean that the worker cannot be reached.
     if (!session.mReport.mHasRunLists || aNow - session.mReportedAt > kMaximumReportAge ||
         !IsStalled({ .mLastProgressAt = std::max({ LastProgress(aJob, aPosition, aTask),
                                                    mHolderSince, session.mListedSince }),
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -697,7 +697,7 @@
   auto const now = base::Now();
   auto const isTooSoon =
     bytes > kShortCheckpointBytes && now - mCheckpointsReportedAt < kCheckpointInterval;
-  // These lists may have been requested before the last report.
+  // Lists that were requested before the last report supply the same checkpoints as that report.
   auto const isRepeated = mLists.mFirstCheckpoint != mFirstCheckpoint;
   if (isTooSoon || isRepeated) {
     // The scheduler keeps the last checkpoint of each run.
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -36,7 +36,7 @@
   boost::asio::awaitable<base::reply<http_response>> Send(http_request aRequest,
                                                           base::milliseconds aTimeout);
 
-  /// Receives a response body in pieces, as they arrive.
+  /// Called with each piece of a response body as soon as it has arrived.
   using body_consumer = std::function<void(std::string_view)>;
 
   /// Like Send, but passes the body to aConsumer instead of storing it, so its size is not limited.
--- a/source/platform/run_list_reader.cpp
+++ b/source/platform/run_list_reader.cpp
@@ -28,7 +28,8 @@
 constexpr std::size_t kEndField = 3;
 constexpr std::size_t kEndedCheckpointField = 4;
 
-/// Depth of a document's members, of the entries of a list, and of the fields of an entry.
+/// Number of objects and arrays that enclose a member of the document ("running"), an entry of a
+/// run list, and a field of an entry.
 constexpr std::size_t kMemberDepth = 1;
 constexpr std::size_t kEntryDepth = 2;
 constexpr std::size_t kFieldDepth = 3;
--- a/source/platform/run_list_reader.h
+++ b/source/platform/run_list_reader.h
@@ -21,12 +21,13 @@
   bool mIsComplete = true;
   /// Position in mRunning of the first run whose checkpoint was read.
   std::size_t mFirstCheckpoint = 0;
-  /// Position in mRunning of the first run whose checkpoint was left out for lack of room; 0 if
-  /// there is none.
+  /// Value of mFirstCheckpoint for the next list: the first run whose checkpoint exceeded the
+  /// limit, or 0 to start again at the first run, if the checkpoints of all later runs were read.
   std::size_t mNextCheckpoint = 0;
   /// Ends whose checkpoint was left out for lack of room.
   std::size_t mOmittedCheckpoints = 0;
-  /// Checkpoints that are no text.
+  /// Number of checkpoints that are not strings or not valid UTF-8. They are dropped, because they
+  /// cannot be encoded as JSON again.
   std::size_t mUnreadableCheckpoints = 0;
 };
 
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -26,11 +26,13 @@
     }
   }
 
-  /// Starts the job; all of its tasks have room on one worker.
   void StartJob()
   {
     auto body = base::json::parse(JobBody(kTasks, 0));
-    body["steps"][0]["cpu"] = 500;
+    if (mSides.size() == 1) {
+      // A worker has room for 64 tasks of the usual size.
+      body["steps"][0]["cpu"] = 500;
+    }
     BOOST_TEST(Call(Standby(), "POST", kPath, body.dump()) == 200U);
     AwaitRuns();
   }
@@ -40,7 +42,7 @@
     BOOST_REQUIRE(RunUntil([&] { return mRecorder.ActiveRuns() == kTasks; }));
   }
 
-  /// Ends the runs of the tasks with these indexes; the others go on.
+  /// Ends the runs of the tasks whose index aEnds accepts; all other runs continue.
   void EndRuns(std::function<bool(std::size_t aIndex)> const& aEnds)
   {
     for (auto const& side : mSides) {
--- a/source/platform/tests/run_list_reader_test.cpp
+++ b/source/platform/tests/run_list_reader_test.cpp
@@ -142,7 +142,7 @@
   BOOST_TEST(stopped.mIsComplete);
   BOOST_TEST(stopped.mEnded[0].mCheckpoint.size() == 60'000U);
   BOOST_TEST(stopped.mOmittedCheckpoints == 499U - run_list_reader::kEndedCheckpointBytes / 60'000);
-  // Nothing starts a task again that is done.
+  // A task that is done never starts again, so the reader drops its checkpoint.
   auto const done = Lists(EndedRuns(499, "done", 60'000));
   BOOST_TEST(done.mEnded.size() == 499U);
   BOOST_TEST(done.mEnded[0].mCheckpoint.empty());
