Scheduler: Say why a link to a side was lost, and count long messages

What callers saw: nothing.

Cause of the failure: beside other tests under the address sanitizer the processes stand still for up to 0.8 s; the other front took the term, and its link replaced the former one. In another play the lease ended, so that tasks were started twice.

Change: the line side-lost names the reason, and messages that exceed a frame are counted on both ends of a link. The test asks these counters; it compares resumed starts with starts.

--- a/source/dispatch/scheduler.cpp
+++ b/source/dispatch/scheduler.cpp
@@ -316,12 +316,12 @@
     mOptions.mContext,
     net::link_dialer::options{
       .mEndpoint = std::get<0>(endpoint),
-      .mHandlers = { .mOnFrame =
-                       [this, aNode](net::link_ptr const& aLink, net::frame aFrame) {
-                         HandleFrame(aNode, aLink, std::move(aFrame));
-                       },
-                     .mOnClose = [this, aNode](net::link_ptr const&,
-                                               base::error const&) { LinkClosed(aNode); } },
+      .mHandlers = {
+        .mOnFrame = [this,
+                     aNode](net::link_ptr const& aLink,
+                            net::frame aFrame) { HandleFrame(aNode, aLink, std::move(aFrame)); },
+        .mOnClose = [this, aNode](net::link_ptr const&,
+                                  base::error const& aReason) { LinkClosed(aNode, aReason); } },
       .mOnOpen =
         [this, aNode](net::link_ptr const& aLink) {
           auto const found = mSessions.find(aNode);
@@ -337,8 +337,11 @@
   mSessions[aNode] = std::move(created);
 }
 
-void scheduler::LinkClosed(std::string const& aNode)
+void scheduler::LinkClosed(std::string const& aNode, base::error const& aReason)
 {
+  if (aReason.mCode == base::result_code::message_too_large) {
+    mOptions.mMetrics.Counter("rattanpond_reports_too_large").Add();
+  }
   auto const found = mSessions.find(aNode);
   if (found == mSessions.end()) {
     return;
@@ -348,7 +351,7 @@
   session.mStarts.clear();
   session.mStops.clear();
   session.mPaces.clear();
-  base::Log("scheduler")->info("side-lost node={}", aNode);
+  base::Log("scheduler")->info("side-lost node={} reason=\"{}\"", aNode, aReason.mMessage);
   ForEachActiveTask([&](job_record&, task_position const&, tracked_task& aTask) {
     if (aTask.mState.mWorker == aNode &&
         (aTask.mRunStatus == run_status::starting || aTask.mRunStatus == run_status::stopping)) {
--- a/source/dispatch/scheduler.h
+++ b/source/dispatch/scheduler.h
@@ -164,7 +164,7 @@
 
   void SynchronizeSessions();
   void OpenSession(std::string const& aNode, std::string const& aAddress);
-  void LinkClosed(std::string const& aNode);
+  void LinkClosed(std::string const& aNode, base::error const& aReason);
   void HandleFrame(std::string const& aNode, net::link_ptr const& aLink, net::frame aFrame);
   void HandleReport(session& aSession, side_report aReport);
   /// Requeues the runs that ended with the former incarnation. A run whose start may have reached
--- a/source/dispatch/side_agent.cpp
+++ b/source/dispatch/side_agent.cpp
@@ -91,6 +91,9 @@
       [this](net::link_ptr const& aLink, base::error const& aReason) {
         if (aLink == mScheduler) {
           mOptions.mMetrics.Counter("rattanpond_scheduler_links_lost").Add();
+          if (aReason.mCode == base::result_code::message_too_large) {
+            mOptions.mMetrics.Counter("rattanpond_orders_too_large").Add();
+          }
           base::Log("side")->info("scheduler-lost term={} reason=\"{}\"", mTerm, aReason.mMessage);
           mScheduler.reset();
         }
--- a/source/platform/tests/long_checkpoint_test.cpp
+++ b/source/platform/tests/long_checkpoint_test.cpp
@@ -117,12 +117,17 @@
     return count;
   }
 
-  /// Links between a side and the scheduler that were closed.
-  std::uint64_t LostLinks()
+  /// Reports and orders that exceeded the size of a frame; each of them closes its link.
+  std::uint64_t OversizedMessages()
   {
     std::uint64_t count = 0;
     for (auto const& side : mSides) {
-      count += side->mMetrics.Counter("rattanpond_scheduler_links_lost").Value();
+      count += side->mMetrics.Counter("rattanpond_orders_too_large").Value();
+    }
+    for (auto const* const fronts : { &mFronts, &mFormerFronts }) {
+      for (auto const& front : *fronts) {
+        count += front->mMetrics.Counter("rattanpond_reports_too_large").Value();
+      }
     }
     return count;
   }
@@ -224,8 +229,7 @@
   cluster.EndAllRuns();
   BOOST_TEST(cluster.ReachesState(kPath, "done"));
   BOOST_TEST(cluster.Starts() == cluster.kTasks + 3);
-  // The scheduler closes the link at a report that exceeds the size of a frame.
-  BOOST_TEST(cluster.LostLinks() == 0U);
+  BOOST_TEST(cluster.OversizedMessages() == 0U);
   RequireNoFaults(cluster);
 }
 
@@ -262,10 +266,14 @@
     BOOST_REQUIRE(cluster.RunUntil([&] { return first() == 0; }, kLimit));
   }
   BOOST_REQUIRE(cluster.mRecorder.ActiveRuns() == cluster.kTasks);
+  auto const started = cluster.Starts();
+  auto const resumed = cluster.ResumedStarts();
   cluster.ReplaceWorkers();
   cluster.AwaitRuns();
-  BOOST_TEST(cluster.ResumedStarts() == cluster.kTasks);
-  BOOST_TEST(cluster.LostLinks() == 0U);
+  // On a slow machine, a lease may end and runs begin once more; these have their checkpoints, too.
+  BOOST_TEST(cluster.Starts() - started >= cluster.kTasks);
+  BOOST_TEST(cluster.ResumedStarts() - resumed == cluster.Starts() - started);
+  BOOST_TEST(cluster.OversizedMessages() == 0U);
   RequireNoFaults(cluster);
 }
 
